Lay out the workspace, shared types, messages and the design

Sets up the Maven workspace with the formatter, the linter and the tests in one command, the identifiers, records and messages that all modules share, and the design page.

--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/FencingToken.kt
@@ -0,0 +1,47 @@
+/*
+ * Fencing tokens. A token is the position of the record that granted a right, so tokens grow with the order that
+ * the log gave, and whoever holds a lower token than one already seen has lost the right.
+ */
+package org.greengagepass.core
+
+import kotlinx.serialization.Serializable
+
+/** Position of a record in a stream, used to order grants of the same right. */
+@JvmInline
+@Serializable
+public value class FencingToken(
+    public val value: Long,
+) : Comparable<FencingToken> {
+    override fun compareTo(other: FencingToken): Int = value.compareTo(other.value)
+
+    public companion object {
+        /** Most records in one batch, so that offset and index fit one number. */
+        public const val RECORDS_PER_BATCH_MAXIMUM: Int = 4096
+
+        /** Lower than every token of a record. */
+        public val NONE: FencingToken = FencingToken(-1)
+
+        /** Token of the record at [index] of the batch at log offset [offset]. */
+        public fun of(
+            offset: Long,
+            index: Int,
+        ): FencingToken = FencingToken(offset * RECORDS_PER_BATCH_MAXIMUM + index)
+    }
+}
+
+/** Number of an ownership of a partition. Each valid claim raises it by one. */
+@JvmInline
+@Serializable
+public value class Epoch(
+    public val value: Long,
+) : Comparable<Epoch> {
+    override fun compareTo(other: Epoch): Int = value.compareTo(other.value)
+
+    /** The epoch that the next valid claim gets. */
+    public fun next(): Epoch = Epoch(value + 1)
+
+    public companion object {
+        /** Epoch of a partition that nobody has claimed yet. */
+        public val NONE: Epoch = Epoch(0)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/Resources.kt
@@ -0,0 +1,41 @@
+/*
+ * Amounts of what a host holds and a task needs.
+ */
+package org.greengagepass.core
+
+import kotlinx.serialization.Serializable
+
+/** Processor time in thousandths of a core, memory in megabytes, and whole accelerators. */
+@Serializable
+public data class Resources(
+    val milliCores: Long = 0,
+    val memoryMegabytes: Long = 0,
+    val accelerators: Int = 0,
+) {
+    /** The sum of both, part by part. */
+    public operator fun plus(other: Resources): Resources =
+        Resources(
+            milliCores = milliCores + other.milliCores,
+            memoryMegabytes = memoryMegabytes + other.memoryMegabytes,
+            accelerators = accelerators + other.accelerators,
+        )
+
+    /** The difference, part by part; parts may become negative. */
+    public operator fun minus(other: Resources): Resources =
+        Resources(
+            milliCores = milliCores - other.milliCores,
+            memoryMegabytes = memoryMegabytes - other.memoryMegabytes,
+            accelerators = accelerators - other.accelerators,
+        )
+
+    /** True if every part is at most that of [capacity]. */
+    public fun fitsIn(capacity: Resources): Boolean =
+        milliCores <= capacity.milliCores &&
+            memoryMegabytes <= capacity.memoryMegabytes &&
+            accelerators <= capacity.accelerators
+
+    public companion object {
+        /** No resources at all. */
+        public val NONE: Resources = Resources()
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/TaskRecord.kt
@@ -0,0 +1,257 @@
+/*
+ * Records of a partition's stream. The fold of the stream in order is the only authority on which tasks exist, who
+ * runs them, and which keys of non-idempotent requests are taken. A record of an epoch that is no longer current
+ * has no effect.
+ */
+package org.greengagepass.core.process
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.greengagepass.core.EntryId
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.FencingToken
+import org.greengagepass.core.HostId
+import org.greengagepass.core.ProfileName
+import org.greengagepass.core.Resources
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.ServiceName
+import org.greengagepass.core.TaskId
+import org.greengagepass.core.TeamName
+import org.greengagepass.core.WorkKind
+import org.greengagepass.core.request.Answer
+
+/** A batch or standing task as its team submitted it. */
+@Serializable
+public data class TaskSpecification(
+    val taskId: TaskId,
+    val team: TeamName,
+    val profile: ProfileName,
+    val kind: WorkKind,
+    val declared: Resources,
+    val input: String = "",
+)
+
+/** A caller's key for a non-idempotent request, unique within its team. */
+@Serializable
+public data class RequestKey(
+    val team: TeamName,
+    val idempotencyKey: String,
+)
+
+/** State of a task at a point from which it can be resumed. Number 0 stands for its beginning. */
+@Serializable
+public data class Checkpoint(
+    val number: Long,
+    val reference: String,
+) {
+    public companion object {
+        /** The beginning of a task, from which its first attempt starts. */
+        public val BEGINNING: Checkpoint = Checkpoint(number = 0, reference = "")
+    }
+}
+
+/** One record of a partition's stream. */
+@Serializable
+public sealed class TaskRecord {
+    /** [owner] takes the partition if its epoch is still [expectedEpoch]. */
+    @Serializable
+    @SerialName("partitionClaimed")
+    public data class PartitionClaimed(
+        val owner: EntryId,
+        val address: String,
+        val expectedEpoch: Epoch,
+    ) : TaskRecord()
+
+    /** A record that is valid only while its author owns the partition. */
+    public sealed interface OwnerRecord {
+        /** Epoch under which the author owned the partition. */
+        public val epoch: Epoch
+    }
+
+    /** The owner gives the partition up; it grants nothing after this record. */
+    @Serializable
+    @SerialName("partitionReleased")
+    public data class PartitionReleased(
+        override val epoch: Epoch,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The owner is alive. */
+    @Serializable
+    @SerialName("ownerHeartbeat")
+    public data class OwnerHeartbeat(
+        override val epoch: Epoch,
+        val recordedAtEpochMillis: Long,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** A task was submitted. A second record for the same task has no effect. */
+    @Serializable
+    @SerialName("submitted")
+    public data class Submitted(
+        val specification: TaskSpecification,
+        val recordedAtEpochMillis: Long,
+    ) : TaskRecord()
+
+    /** Its team asked for the task to be cancelled. */
+    @Serializable
+    @SerialName("cancelRequested")
+    public data class CancelRequested(
+        val taskId: TaskId,
+    ) : TaskRecord()
+
+    /** The task is given to [host]. The record's position is the fencing token of the attempt. */
+    @Serializable
+    @SerialName("assigned")
+    public data class Assigned(
+        override val epoch: Epoch,
+        val taskId: TaskId,
+        val host: HostId,
+        val previousToken: FencingToken,
+        val resumeFrom: Checkpoint,
+        val limit: Resources,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The worker has started the attempt. */
+    @Serializable
+    @SerialName("started")
+    public data class Started(
+        override val epoch: Epoch,
+        val taskId: TaskId,
+        val token: FencingToken,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The attempt reached [checkpoint]. */
+    @Serializable
+    @SerialName("checkpointed")
+    public data class Checkpointed(
+        override val epoch: Epoch,
+        val taskId: TaskId,
+        val token: FencingToken,
+        val checkpoint: Checkpoint,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The attempt is proven to have ended without finishing the task, which waits for a new one. */
+    @Serializable
+    @SerialName("released")
+    public data class Released(
+        override val epoch: Epoch,
+        val taskId: TaskId,
+        val token: FencingToken,
+        val reason: ReleaseReason,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The task is done. */
+    @Serializable
+    @SerialName("finished")
+    public data class Finished(
+        override val epoch: Epoch,
+        val taskId: TaskId,
+        val token: FencingToken,
+        val result: String,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The task is given up. */
+    @Serializable
+    @SerialName("failed")
+    public data class Failed(
+        override val epoch: Epoch,
+        val taskId: TaskId,
+        val code: ResultCode,
+        val detail: String,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The task has ended as its team asked. */
+    @Serializable
+    @SerialName("cancelled")
+    public data class Cancelled(
+        override val epoch: Epoch,
+        val taskId: TaskId,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** A non-idempotent request was accepted and may be dispatched once under this record's position. */
+    @Serializable
+    @SerialName("requestClaimed")
+    public data class RequestClaimed(
+        override val epoch: Epoch,
+        val key: RequestKey,
+        val bodyDigest: String,
+        val recordedAtEpochMillis: Long,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The request ran and gave [answer]. */
+    @Serializable
+    @SerialName("requestCompleted")
+    public data class RequestCompleted(
+        override val epoch: Epoch,
+        val key: RequestKey,
+        val answer: Answer,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** It can't be told whether the request ran; it is never dispatched again. */
+    @Serializable
+    @SerialName("requestUnknown")
+    public data class RequestUnknown(
+        override val epoch: Epoch,
+        val key: RequestKey,
+        val code: ResultCode,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** The request is proven not to have run; its key is free again. */
+    @Serializable
+    @SerialName("requestNotRun")
+    public data class RequestNotRun(
+        override val epoch: Epoch,
+        val key: RequestKey,
+    ) : TaskRecord(),
+        OwnerRecord
+
+    /** Keys whose retention has ended are dropped. */
+    @Serializable
+    @SerialName("keysForgotten")
+    public data class KeysForgotten(
+        override val epoch: Epoch,
+        val keys: List<RequestKey>,
+    ) : TaskRecord(),
+        OwnerRecord
+}
+
+/** Why an attempt ended without finishing its task. */
+@Serializable
+public enum class ReleaseReason {
+    /** The agent refused the start, so nothing ran. */
+    REFUSED,
+
+    /** The task was checkpointed and stopped to make room or end interference. */
+    EVICTED,
+
+    /** The task ran into its limit and was stopped. */
+    LIMIT_EXCEEDED,
+
+    /** The attempt failed on the worker. */
+    FAILED,
+
+    /** The lease of the attempt has ended. */
+    LEASE_ENDED,
+
+    /** The failure domain was taken out. */
+    FAILURE_DOMAIN_OUT,
+}
+
+/** What one append to a partition's stream writes: records of one writer in the order of [sequence]. */
+@Serializable
+public data class TaskBatch(
+    val writer: String,
+    val sequence: Long,
+    val records: List<TaskRecord>,
+)
--- /dev/null
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/EntryMessage.kt
@@ -0,0 +1,133 @@
+/*
+ * Messages that an entry sends to an agent. Deadlines are readings of the clock of the process that checks them:
+ * the worker's for grants, the agent's for requests.
+ */
+package org.greengagepass.protocol.connection
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.FencingToken
+import org.greengagepass.core.PartitionNumber
+import org.greengagepass.core.RequestId
+import org.greengagepass.core.Resources
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.ServiceName
+import org.greengagepass.core.TaskId
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.WorkKind
+import org.greengagepass.core.process.Checkpoint
+
+/** A message from an entry to an agent. */
+@Serializable
+public sealed class EntryMessage {
+    /** Answer to a hello whose protocol version is spoken here. */
+    @Serializable
+    @SerialName("welcome")
+    public data class Welcome(
+        val protocolVersion: Int,
+        val entryAddresses: List<String>,
+        val partition: PartitionNumber,
+        val ownerAddress: String?,
+    ) : EntryMessage()
+
+    /** Refusal of the connection, which is closed after it. */
+    @Serializable
+    @SerialName("refusal")
+    public data class Refusal(
+        val code: ResultCode,
+        val detail: String,
+    ) : EntryMessage()
+
+    /** Answer to the heartbeat of the same sequence number. */
+    @Serializable
+    @SerialName("heartbeatAnswer")
+    public data class HeartbeatAnswer(
+        val sequence: Long,
+        val configurationVersion: FencingToken,
+        val failureDomainOut: Boolean,
+        val entryAddresses: List<String>,
+        val ownerAddress: String?,
+    ) : EntryMessage()
+
+    /** What the owner of the host's partition permits, from the heartbeat of the same sequence number. */
+    @Serializable
+    @SerialName("grant")
+    public data class Grant(
+        val sequence: Long,
+        val epoch: Epoch,
+        val leaseDeadlineWorkerClock: Timestamp,
+        val startDeadlineWorkerClock: Timestamp?,
+        val renewals: List<FencingToken>,
+        val starts: List<TaskStart>,
+        val commands: List<TaskCommand>,
+        val recorded: List<FencingToken>,
+    ) : EntryMessage()
+
+    /** A request for an upstream on the host. */
+    @Serializable
+    @SerialName("dispatch")
+    public data class Dispatch(
+        val requestId: RequestId,
+        val traceparent: String,
+        val service: ServiceName,
+        val operation: WorkKind,
+        val body: String,
+        val deadlineAgentClock: Timestamp,
+        val idempotent: Boolean,
+    ) : EntryMessage()
+
+    /** Asks what became of requests that were dispatched on an earlier connection. */
+    @Serializable
+    @SerialName("inquire")
+    public data class Inquire(
+        val requestIds: List<RequestId>,
+    ) : EntryMessage()
+}
+
+/** A task to start on the worker. */
+@Serializable
+public data class TaskStart(
+    val taskId: TaskId,
+    val token: FencingToken,
+    val kind: WorkKind,
+    val limit: Resources,
+    val resumeFrom: Checkpoint,
+    val input: String,
+)
+
+/** What an agent is to do with a running attempt. */
+@Serializable
+public sealed class TaskCommand {
+    /** Attempt that the command is for. */
+    public abstract val token: FencingToken
+
+    /** Checkpoint the attempt and stop it. */
+    @Serializable
+    @SerialName("evict")
+    public data class Evict(
+        override val token: FencingToken,
+    ) : TaskCommand()
+
+    /** Stop the attempt without a checkpoint. */
+    @Serializable
+    @SerialName("stop")
+    public data class Stop(
+        override val token: FencingToken,
+    ) : TaskCommand()
+
+    /** Checkpoint the attempt and let it run on. */
+    @Serializable
+    @SerialName("takeCheckpoint")
+    public data class TakeCheckpoint(
+        override val token: FencingToken,
+    ) : TaskCommand()
+
+    /** Let the attempt use [permille] of its processor limit. */
+    @Serializable
+    @SerialName("throttle")
+    public data class Throttle(
+        override val token: FencingToken,
+        val permille: Int,
+    ) : TaskCommand()
+}
--- /dev/null
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FramedConnection.kt
@@ -0,0 +1,98 @@
+/*
+ * A connection that carries frames: four bytes of length, most significant first, and a message. One coroutine
+ * writes, so that frames never mix; the queue in front of it is bounded, and a peer that does not read makes
+ * sending fail instead of filling memory.
+ */
+package org.greengagepass.protocol.connection
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.launch
+import org.greengagepass.core.ResultCode
+import java.io.IOException
+
+/** One end of a connection that sends messages of type [O] and receives messages of type [I]. */
+public class FramedConnection<O, I>(
+    private val socket: Socket,
+    private val outgoing: MessageCodec<O>,
+    private val incoming: MessageCodec<I>,
+) {
+    private val reader: ByteReadChannel = socket.openReadChannel()
+    private val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
+    private val queue = Channel<O>(QUEUED_FRAMES_MAXIMUM)
+
+    /** Address of the other end. */
+    public val remoteAddress: String = socket.remoteAddress.toString()
+
+    /** Starts the coroutine that writes queued messages; it ends with the connection. */
+    public fun start(scope: CoroutineScope) {
+        scope.launch { writeQueued() }
+    }
+
+    /** Queues [message]; false if the connection is closed or its queue is full. */
+    public fun send(message: O): Boolean = queue.trySend(message).isSuccess
+
+    /** The next message, or why there will be none. */
+    public suspend fun receive(): Either<CodecError, I> =
+        try {
+            receiveFrame()
+        } catch (cause: IOException) {
+            CodecError(ResultCode.AGENT_LOST, "the connection ended: ${cause.message}").left()
+        }
+
+    /** Closes the connection; messages that are still queued are dropped. */
+    public fun close() {
+        queue.close()
+        socket.close()
+    }
+
+    /** Stops taking messages; those already queued are still written, then the connection closes. */
+    public fun closeAfterQueued() {
+        queue.close()
+    }
+
+    private suspend fun receiveFrame(): Either<CodecError, I> {
+        val length = reader.readInt()
+        if (length !in 1..FRAME_BYTES_MAXIMUM) {
+            return CodecError(ResultCode.TOO_LARGE, "a frame of $length bytes; allowed are 1 to $FRAME_BYTES_MAXIMUM")
+                .left()
+        }
+        val bytes = reader.readByteArray(length)
+        return incoming.decode(bytes).fold({ it.left() }, { it.right() })
+    }
+
+    private suspend fun writeQueued() {
+        try {
+            for (message in queue) {
+                writeFrame(outgoing.encode(message))
+            }
+        } catch (_: IOException) {
+            queue.close()
+        } finally {
+            socket.close()
+        }
+    }
+
+    private suspend fun writeFrame(bytes: ByteArray) {
+        writer.writeInt(bytes.size)
+        writer.writeByteArray(bytes)
+        writer.flush()
+    }
+
+    private companion object {
+        /** Frames queued before a send fails; more than a peer that reads ever leaves waiting. */
+        private const val QUEUED_FRAMES_MAXIMUM = 1_024
+    }
+}
