--- a/core/src/main/kotlin/org/greengagepass/core/connection/HandledRequests.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/connection/HandledRequests.kt
@@ -50,7 +50,7 @@
         return when {
             known != null -> repeated(known)
             records.size >= recordsMaximum -> DispatchDecision.Ignore("the agent remembers $recordsMaximum requests")
-            isForgotten(deadline, now) -> DispatchDecision.Ignore("its deadline is too long ago to tell whether it ran")
+            !isRemembered(deadline, now) -> DispatchDecision.Ignore("its deadline is too far from now to remember it")
             now >= deadline -> refuse(requestId, deadline, DEADLINE_EXPIRED)
             draining -> refuse(requestId, deadline, notRun(ResultCode.DRAINING, "the agent is leaving"))
             refusal != null -> refuse(requestId, deadline, refusal)
@@ -132,7 +132,7 @@
         inquiry: Inquiry,
         now: Timestamp,
     ): InquiryResult? {
-        if (isForgotten(inquiry.deadlineAgentClock, now) || records.size >= recordsMaximum) {
+        if (!isRemembered(inquiry.deadlineAgentClock, now) || records.size >= recordsMaximum) {
             return null
         }
         records.add(
@@ -150,9 +150,18 @@
 
         /** Most characters of kept answers. An agent has 64 MB in all. */
         public const val ANSWER_CHARACTERS_MAXIMUM: Long = 2_000_000
+
+        /** Longest time from a dispatch to its deadline. It bounds how long a record is kept. */
+        public const val DISPATCH_DEADLINE_MAXIMUM_MILLIS: Long = 600_000
     }
 }
 
 private fun repeated(known: HandledRecord): DispatchDecision =
     known.outcome?.let { DispatchDecision.AnswerAgain(it) }
         ?: DispatchDecision.Ignore("the request is already in progress")
+
+/** True if a record of a request with this [deadline] exists at [now] for every dispatch that was not ignored. */
+private fun isRemembered(
+    deadline: Timestamp,
+    now: Timestamp,
+): Boolean = deadline <= now.plusMillis(HandledRequests.DISPATCH_DEADLINE_MAXIMUM_MILLIS) && !isForgotten(deadline, now)
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/version/ConfigurationState.kt
@@ -0,0 +1,112 @@
+/*
+ * The fold of the configuration stream. The order of its records decides between operators that race: a record
+ * whose condition is false at its position has no effect anywhere. Every process that has folded the stream up to
+ * the same offset holds the same state.
+ */
+package org.greengagepass.core.version
+
+import org.greengagepass.core.FencingToken
+
+/**
+ * The configuration as one process has folded it. Starts at offset 0, or with [restore] at that of a snapshot. The
+ * version never falls. Not safe for use by several threads at once; [view] may be shared.
+ */
+public class ConfigurationState {
+    private var sequences = WriterSequences()
+    private var keys = KeyMemory()
+
+    /** The configuration in force. */
+    public var view: ConfigurationView = ConfigurationView()
+        private set
+
+    /** Offset of the log record to fold next. */
+    public var nextOffset: Long = 0
+        private set
+
+    /** The position that everything folded lies before; comparable with the heads that other processes report. */
+    public val head: FencingToken
+        get() = FencingToken.of(nextOffset, index = 0)
+
+    /** Folds [batch], read at log offset [offset]. Records are folded strictly in order, each once. */
+    public fun fold(
+        offset: Long,
+        batch: ConfigurationBatch,
+    ): FoldResult =
+        when {
+            offset < nextOffset -> FoldResult.AlreadyFolded(nextOffset)
+            offset > nextOffset -> FoldResult.Gap(nextOffset)
+            !sequences.accept(batch.writer, batch.sequence) -> {
+                nextOffset++
+                FoldResult.Repeated(batch.writer, batch.sequence)
+            }
+            else -> {
+                nextOffset++
+                FoldResult.Folded(batch.writer, batch.sequence, foldRecords(offset, batch.records))
+            }
+        }
+
+    /** Steps over a log record at [offset] that holds no batch. It has no effect on the configuration. */
+    public fun skipUnreadable(offset: Long): Boolean {
+        val isNext = offset == nextOffset
+        if (isNext) {
+            nextOffset++
+        }
+        return isNext
+    }
+
+    /**
+     * Goes on at [oldestOffset] after records have expired unread and no snapshot covers them. The configuration
+     * stays as it is; what the expired records said is lost. False, with no effect, if nothing is missing.
+     */
+    public fun continueAfterExpiry(oldestOffset: Long): Boolean {
+        val isMissing = oldestOffset > nextOffset
+        if (isMissing) {
+            nextOffset = oldestOffset
+        }
+        return isMissing
+    }
+
+    /** The whole state, to write to the stream of snapshots. */
+    public fun snapshot(): ConfigurationSnapshot =
+        ConfigurationSnapshot(
+            nextOffset = nextOffset,
+            view = view,
+            sequences = sequences.toList(),
+            keys = keys.toList(),
+        )
+
+    /** Takes over [snapshot]. False, with no effect, if it is not newer than the state. */
+    public fun restore(snapshot: ConfigurationSnapshot): Boolean {
+        if (snapshot.nextOffset <= nextOffset || snapshot.view.version < view.version) {
+            return false
+        }
+        nextOffset = snapshot.nextOffset
+        view = snapshot.view
+        sequences = WriterSequences(snapshot.sequences)
+        keys = KeyMemory(snapshot.keys)
+        return true
+    }
+
+    private fun foldRecords(
+        offset: Long,
+        records: List<ConfigurationRecord>,
+    ): List<RecordResult> =
+        records.take(FencingToken.RECORDS_PER_BATCH_MAXIMUM).mapIndexed { index, record ->
+            val position = FencingToken.of(offset, index)
+            RecordResult(position, record, foldRecord(position, record))
+        }
+
+    private fun foldRecord(
+        position: FencingToken,
+        record: ConfigurationRecord,
+    ): Verdict {
+        val key = OperatorKey(record.operator, record.idempotencyKey)
+        keys.find(key)?.let { return Verdict.Repeated(it) }
+        val verdict = view.judge(record, position)
+        if (verdict is Verdict.Accepted) {
+            view = view.apply(record, position)
+        }
+        keys.add(key, verdict)
+        return verdict
+    }
+}
