Fold the stream of a partition into its tasks, keys and ownership

Change: PartitionState folds batches over indices (waiting, per host, ended, claimed and settled keys); a batch at or below the highest sequence of its writer is ignored, so late appends have no effect either. Adds TasksForgotten and PartitionReleased.remainingWaitMillis: an owner that took over without a release and then releases must pass on the rest of its wait, because the owner before it may still renew leases. Ruled out: remembering every (writer, sequence), which grows without bound.

--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/PartitionState.kt
@@ -0,0 +1,146 @@
+/*
+ * The fold of a partition's stream. It depends on nothing but the batches and their offsets, so every process that
+ * reads the stream arrives at the same state.
+ */
+package org.greengagepass.core.process
+
+import org.greengagepass.core.EntryId
+import org.greengagepass.core.FencingToken
+import org.greengagepass.core.process.TaskRecord.CancelRequested
+import org.greengagepass.core.process.TaskRecord.KeyRecord
+import org.greengagepass.core.process.TaskRecord.LifeCycleRecord
+import org.greengagepass.core.process.TaskRecord.OwnerHeartbeat
+import org.greengagepass.core.process.TaskRecord.OwnerRecord
+import org.greengagepass.core.process.TaskRecord.PartitionClaimed
+import org.greengagepass.core.process.TaskRecord.PartitionReleased
+import org.greengagepass.core.process.TaskRecord.RequestClaimed
+import org.greengagepass.core.process.TaskRecord.Submitted
+import org.greengagepass.core.process.TaskRecord.TasksForgotten
+
+/** A record at its position, and whether its condition was true there. */
+public data class FoldedRecord(
+    val position: FencingToken,
+    val record: TaskRecord,
+    val isValid: Boolean,
+)
+
+/** State of a partition after the batches before [nextOffset]. Not safe for use by several threads at a time. */
+public class PartitionState {
+    private val writers = WriterTable()
+
+    /** The partition's tasks. */
+    public val tasks: TaskTable = TaskTable()
+
+    /** The partition's keys of non-idempotent requests. */
+    public val keys: KeyTable = KeyTable()
+
+    /** Who schedules the partition. */
+    public var ownership: Ownership = Ownership.NONE
+        private set
+
+    /** Offset of the first batch that the state does not contain. */
+    public var nextOffset: Long = 0
+        private set
+
+    /** Latest wall-clock time that a valid record states; only retention depends on it. */
+    public var epochMillis: Long = 0
+        private set
+
+    /** Writers with their highest sequences, as a snapshot holds them. */
+    public val writerPositions: List<WriterPosition>
+        get() = writers.positions
+
+    /**
+     * Applies the batch at [offset] and tells what became of each record. The list is empty for a batch that was
+     * folded before or whose writer has written a later one.
+     */
+    public fun fold(
+        offset: Long,
+        batch: TaskBatch,
+    ): List<FoldedRecord> {
+        if (offset < nextOffset) {
+            return emptyList()
+        }
+        nextOffset = offset + 1
+        val isUsable =
+            batch.records.size <= FencingToken.RECORDS_PER_BATCH_MAXIMUM &&
+                writers.admit(batch.writer, batch.sequence)
+        return if (isUsable) {
+            batch.records.mapIndexed { index, record ->
+                val token = FencingToken.of(offset, index)
+                FoldedRecord(token, record, isValid = apply(record, token))
+            }
+        } else {
+            emptyList()
+        }
+    }
+
+    /** Skips batches before [offset] that cannot be decoded or that nobody holds any more. */
+    public fun skipTo(offset: Long) {
+        nextOffset = maxOf(nextOffset, offset)
+    }
+
+    /** True if [entry] owns the partition under the current epoch and has not released it. */
+    public fun isOwnedBy(entry: EntryId): Boolean = ownership.owner == entry && !ownership.released
+
+    internal fun restore(header: SnapshotRecord.Header) {
+        ownership = header.ownership
+        epochMillis = header.epochMillis
+        nextOffset = header.nextOffset
+        header.writers.forEach { writers.admit(it.writer, it.sequence) }
+    }
+
+    private fun apply(
+        record: TaskRecord,
+        token: FencingToken,
+    ): Boolean =
+        when (record) {
+            is PartitionClaimed -> changeOwnership(ownership.after(record, token))
+            is Submitted -> submit(record, token)
+            is CancelRequested -> change(tasks[record.taskId]?.afterCancelRequest(RecordPosition(token, epochMillis)))
+            is OwnerRecord -> ownership.permits(record.epoch) && applyOwned(record, token)
+        }
+
+    private fun applyOwned(
+        record: OwnerRecord,
+        token: FencingToken,
+    ): Boolean =
+        when (record) {
+            is LifeCycleRecord -> change(tasks[record.taskId]?.after(record, RecordPosition(token, epochMillis)))
+            is RequestClaimed -> {
+                advanceClock(record.recordedAtEpochMillis)
+                keys.apply(record, RecordPosition(token, epochMillis))
+            }
+            is KeyRecord -> keys.apply(record, RecordPosition(token, epochMillis))
+            is PartitionReleased ->
+                changeOwnership(
+                    ownership.copy(released = true, remainingWaitMillis = record.remainingWaitMillis),
+                )
+            is OwnerHeartbeat -> advanceClock(record.recordedAtEpochMillis)
+            is TasksForgotten -> record.tasks.count(tasks::forget) > 0
+        }
+
+    private fun changeOwnership(changed: Ownership?): Boolean {
+        ownership = changed ?: ownership
+        return changed != null
+    }
+
+    private fun change(task: Task?): Boolean {
+        task?.let(tasks::put)
+        return task != null
+    }
+
+    private fun submit(
+        record: Submitted,
+        token: FencingToken,
+    ): Boolean {
+        advanceClock(record.recordedAtEpochMillis)
+        val isNew = tasks[record.specification.taskId] == null
+        return isNew && change(Task(record.specification, token, record.recordedAtEpochMillis))
+    }
+
+    private fun advanceClock(recordedAtEpochMillis: Long): Boolean {
+        epochMillis = maxOf(epochMillis, recordedAtEpochMillis)
+        return true
+    }
+}
--- a/core/src/main/kotlin/org/greengagepass/core/process/TaskRecord.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/TaskRecord.kt
@@ -14,7 +14,6 @@
 import org.greengagepass.core.ProfileName
 import org.greengagepass.core.Resources
 import org.greengagepass.core.ResultCode
-import org.greengagepass.core.ServiceName
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.TeamName
 import org.greengagepass.core.WorkKind
@@ -68,11 +67,24 @@
         public val epoch: Epoch
     }
 
-    /** The owner gives the partition up; it grants nothing after this record. */
+    /** A record that changes the life cycle of one task. */
+    public sealed interface LifeCycleRecord : OwnerRecord {
+        /** The task that changes. */
+        public val taskId: TaskId
+    }
+
+    /** A record about the key of a non-idempotent request. */
+    public sealed interface KeyRecord : OwnerRecord
+
+    /**
+     * The owner gives the partition up; it grants nothing after this record. An earlier owner that was replaced
+     * without a release may still renew leases for [remainingWaitMillis]; the next owner has to wait that long too.
+     */
     @Serializable
     @SerialName("partitionReleased")
     public data class PartitionReleased(
         override val epoch: Epoch,
+        val remainingWaitMillis: Long = 0,
     ) : TaskRecord(),
         OwnerRecord
 
@@ -105,76 +117,76 @@
     @SerialName("assigned")
     public data class Assigned(
         override val epoch: Epoch,
-        val taskId: TaskId,
+        override val taskId: TaskId,
         val host: HostId,
         val previousToken: FencingToken,
         val resumeFrom: Checkpoint,
         val limit: Resources,
     ) : TaskRecord(),
-        OwnerRecord
+        LifeCycleRecord
 
     /** The worker has started the attempt. */
     @Serializable
     @SerialName("started")
     public data class Started(
         override val epoch: Epoch,
-        val taskId: TaskId,
+        override val taskId: TaskId,
         val token: FencingToken,
     ) : TaskRecord(),
-        OwnerRecord
+        LifeCycleRecord
 
     /** The attempt reached [checkpoint]. */
     @Serializable
     @SerialName("checkpointed")
     public data class Checkpointed(
         override val epoch: Epoch,
-        val taskId: TaskId,
+        override val taskId: TaskId,
         val token: FencingToken,
         val checkpoint: Checkpoint,
     ) : TaskRecord(),
-        OwnerRecord
+        LifeCycleRecord
 
     /** The attempt is proven to have ended without finishing the task, which waits for a new one. */
     @Serializable
     @SerialName("released")
     public data class Released(
         override val epoch: Epoch,
-        val taskId: TaskId,
+        override val taskId: TaskId,
         val token: FencingToken,
         val reason: ReleaseReason,
     ) : TaskRecord(),
-        OwnerRecord
+        LifeCycleRecord
 
     /** The task is done. */
     @Serializable
     @SerialName("finished")
     public data class Finished(
         override val epoch: Epoch,
-        val taskId: TaskId,
+        override val taskId: TaskId,
         val token: FencingToken,
         val result: String,
     ) : TaskRecord(),
-        OwnerRecord
+        LifeCycleRecord
 
     /** The task is given up. */
     @Serializable
     @SerialName("failed")
     public data class Failed(
         override val epoch: Epoch,
-        val taskId: TaskId,
+        override val taskId: TaskId,
         val code: ResultCode,
         val detail: String,
     ) : TaskRecord(),
-        OwnerRecord
+        LifeCycleRecord
 
     /** The task has ended as its team asked. */
     @Serializable
     @SerialName("cancelled")
     public data class Cancelled(
         override val epoch: Epoch,
-        val taskId: TaskId,
+        override val taskId: TaskId,
     ) : TaskRecord(),
-        OwnerRecord
+        LifeCycleRecord
 
     /** A non-idempotent request was accepted and may be dispatched once under this record's position. */
     @Serializable
@@ -185,7 +197,7 @@
         val bodyDigest: String,
         val recordedAtEpochMillis: Long,
     ) : TaskRecord(),
-        OwnerRecord
+        KeyRecord
 
     /** The request ran and gave [answer]. */
     @Serializable
@@ -195,7 +207,7 @@
         val key: RequestKey,
         val answer: Answer,
     ) : TaskRecord(),
-        OwnerRecord
+        KeyRecord
 
     /** It can't be told whether the request ran; it is never dispatched again. */
     @Serializable
@@ -205,7 +217,7 @@
         val key: RequestKey,
         val code: ResultCode,
     ) : TaskRecord(),
-        OwnerRecord
+        KeyRecord
 
     /** The request is proven not to have run; its key is free again. */
     @Serializable
@@ -214,7 +226,7 @@
         override val epoch: Epoch,
         val key: RequestKey,
     ) : TaskRecord(),
-        OwnerRecord
+        KeyRecord
 
     /** Keys whose retention has ended are dropped. */
     @Serializable
@@ -222,6 +234,15 @@
     public data class KeysForgotten(
         override val epoch: Epoch,
         val keys: List<RequestKey>,
+    ) : TaskRecord(),
+        KeyRecord
+
+    /** Ended tasks whose retention has ended are dropped. */
+    @Serializable
+    @SerialName("tasksForgotten")
+    public data class TasksForgotten(
+        override val epoch: Epoch,
+        val tasks: List<TaskId>,
     ) : TaskRecord(),
         OwnerRecord
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/WriterTable.kt
@@ -0,0 +1,47 @@
+/*
+ * The highest batch sequence of each writer, by which duplicate and late appends are recognised.
+ */
+package org.greengagepass.core.process
+
+import kotlinx.serialization.Serializable
+
+/** Highest sequence that a writer has in the stream. */
+@Serializable
+public data class WriterPosition(
+    val writer: String,
+    val sequence: Long,
+)
+
+/**
+ * Sequences of a writer only grow: a batch at or below the highest one seen is a duplicate or was overtaken, and
+ * has no effect. The table holds the writers that wrote last; every entry process is a new writer when it starts,
+ * so without a bound the table would grow for ever.
+ */
+internal class WriterTable {
+    private val sequences = LinkedHashMap<String, Long>()
+
+    val positions: List<WriterPosition>
+        get() = sequences.map { (writer, sequence) -> WriterPosition(writer, sequence) }
+
+    /** Notes that [writer] wrote [sequence]; false if the batch must be ignored. */
+    fun admit(
+        writer: String,
+        sequence: Long,
+    ): Boolean {
+        val highest = sequences[writer]
+        if (highest != null && sequence <= highest) {
+            return false
+        }
+        sequences.remove(writer)
+        sequences[writer] = sequence
+        if (sequences.size > WRITERS_MAXIMUM) {
+            sequences.remove(sequences.keys.first())
+        }
+        return true
+    }
+
+    private companion object {
+        /** Twenty-five times the 40 entries of the target, so a writer is dropped long after its last append. */
+        private const val WRITERS_MAXIMUM = 1_000
+    }
+}
