--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Grants.kt
@@ -0,0 +1,135 @@
+/*
+ * Grants to agents. The work for a heartbeat is proportional to the attempts on its host.
+ */
+package org.greengagepass.core.process
+
+import org.greengagepass.core.FencingToken
+import org.greengagepass.core.Resources
+import org.greengagepass.core.process.OwnerInput.HostHeartbeat
+
+/** Answers heartbeats with grants. */
+internal class Grants(
+    private val context: OwnerContext,
+    private val permission: StartPermission,
+    private val attempts: Attempts,
+    private val ends: AttemptEnds,
+) {
+    /** A grant while it is put together. */
+    private inner class Draft(
+        val heartbeat: HostHeartbeat,
+    ) {
+        val held = heartbeat.attempts.associateBy { it.token }
+        val startDeadline = permission.deadline(heartbeat)
+        val isOut = permission.isOut(heartbeat.failureDomain)
+        val current = HashSet<FencingToken>()
+        val renewals = mutableListOf<FencingToken>()
+        val starts = mutableListOf<AttemptStart>()
+        val commands = mutableListOf<AttemptCommand>()
+
+        /** Limits of attempts that the agent's free resources do not account for yet. */
+        var uncounted = Resources.NONE
+    }
+
+    /** The grant in answer to the last heartbeat of [host]. */
+    fun grantFor(host: ReportingHost): HostGrant {
+        val heartbeat = host.heartbeat
+        val draft = Draft(heartbeat)
+        context.state.tasks
+            .on(heartbeat.host)
+            .forEach { add(it, draft) }
+        host.free = host.assigning.values.fold(heartbeat.free - draft.uncounted, Resources::minus)
+        val stale = draft.held.keys - draft.current
+        return HostGrant(
+            sequence = heartbeat.sequence,
+            epoch = context.epoch,
+            leaseDeadlineWorkerClock = heartbeat.workerClock.plusMillis(context.settings.leaseMillis),
+            startDeadlineWorkerClock = draft.startDeadline,
+            renewals = draft.renewals,
+            starts = draft.starts,
+            commands = draft.commands,
+            recorded = (stale + ends.takeRecorded(heartbeat.host)).toList(),
+        )
+    }
+
+    private fun add(
+        task: Task,
+        draft: Draft,
+    ) {
+        val attempt = task.state.attempt ?: return
+        val held = draft.held[attempt.token]
+        draft.current += attempt.token
+        when {
+            ends.isEnding(attempt.token) -> Unit
+            held != null -> renew(task, attempt, held, draft)
+            else -> startOrEnd(task, attempt, draft)
+        }
+    }
+
+    private fun renew(
+        task: Task,
+        attempt: Attempt,
+        held: HeldAttempt,
+        draft: Draft,
+    ) {
+        attempts.started(task, attempt)
+        attempts.checkpointed(task, attempt, held.checkpoint)
+        if (task.cancelRequested) {
+            draft.commands += AttemptCommand.Stop(attempt.token)
+        } else {
+            evictIfAsked(attempt, draft)
+            draft.renewals += attempt.token
+            grantLease(attempt)
+        }
+    }
+
+    private fun evictIfAsked(
+        attempt: Attempt,
+        draft: Draft,
+    ) {
+        if (draft.isOut) {
+            draft.commands += AttemptCommand.Evict(attempt.token, ReleaseReason.FAILURE_DOMAIN_OUT)
+        } else if (attempt.token in ends.evictions) {
+            draft.commands += AttemptCommand.Evict(attempt.token, ReleaseReason.EVICTED)
+        }
+    }
+
+    private fun startOrEnd(
+        task: Task,
+        attempt: Attempt,
+        draft: Draft,
+    ) {
+        val isAssigned = task.state is TaskState.Assigned
+        val isWanted = isAssigned && !task.cancelRequested && !draft.isOut
+        val isFenced = draft.heartbeat.highestEpoch == context.epoch
+        val isUngranted = ends.leases.endOf(attempt.token) == null
+        draft.uncounted += attempt.limit
+        when {
+            isWanted && draft.startDeadline != null -> start(task, attempt, draft)
+            // The permission may come back; until then nothing that this owner granted can run.
+            isWanted && isUngranted && ends.isOwn(attempt) -> Unit
+            isUngranted && !ends.isOwn(attempt) -> if (isFenced) grantLease(attempt)
+            else -> attempts.endIfLapsed(task, hostAnswers = isFenced)
+        }
+    }
+
+    private fun start(
+        task: Task,
+        attempt: Attempt,
+        draft: Draft,
+    ) {
+        val specification = task.specification
+        draft.starts +=
+            AttemptStart(
+                taskId = task.id,
+                token = attempt.token,
+                kind = specification.kind,
+                limit = attempt.limit,
+                resumeFrom = task.checkpoint,
+                input = specification.input,
+            )
+        grantLease(attempt)
+    }
+
+    private fun grantLease(attempt: Attempt) =
+        ends.leases.grant(attempt.token, context.now.plusMillis(context.leaseAndMarginMillis))
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Requests.kt
@@ -0,0 +1,134 @@
+/*
+ * Non-idempotent requests of which this entry is the owner. A request is dispatched only after its claim was read
+ * back, and never a second time under the same claim.
+ */
+package org.greengagepass.core.process
+
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.process.OwnerInput.ClaimRequest
+import org.greengagepass.core.process.OwnerInput.RequestEnded
+import org.greengagepass.core.process.TaskRecord.KeyRecord
+import org.greengagepass.core.process.TaskRecord.RequestClaimed
+import org.greengagepass.core.process.TaskRecord.RequestUnknown
+import org.greengagepass.core.request.RequestOutcome
+
+/** Claims keys, permits dispatches and records outcomes. */
+internal class Requests(
+    private val context: OwnerContext,
+    private val ownership: OwnershipTracker,
+) {
+    private val state = context.state
+    private val ownedRequests = LinkedHashMap<RequestKey, OwnedRequest>()
+
+    /** True while a dispatch has not ended or its outcome is not recorded. */
+    val isBusy: Boolean
+        get() = ownedRequests.isNotEmpty()
+
+    fun claim(input: ClaimRequest) {
+        val caller = Caller(input.requestId, input.deadline)
+        val owned = ownedRequests[input.key]
+        val entry = state.keys[input.key]
+        when {
+            owned != null -> owned.join(caller, input.bodyDigest)?.let { context.answer(caller, it) }
+            entry != null -> context.answer(caller, answerFrom(entry, input.bodyDigest))
+            ownership.isStopping -> context.answer(caller, notRun(ResultCode.DRAINING, "the entry is stopping"))
+            !ownership.mayWrite -> context.answer(caller, notRun(ResultCode.NOT_OWNER, "not the owner"))
+            else -> claim(caller, RequestClaimed(context.epoch, input.key, input.bodyDigest, context.clock.epochMillis))
+        }
+    }
+
+    fun ended(input: RequestEnded) {
+        val owned = ownedRequests[input.key]?.takeIf { it.token == input.token } ?: return
+        owned.end(input.outcome)
+        context.answerAll(owned.callers, CallerAnswer.Ended(input.outcome))
+        settle(owned)
+    }
+
+    /** Draws the conclusions of an own [record] that was read back at [folded]. */
+    fun readBack(folded: FoldedRecord) {
+        val record = folded.record
+        if (record is RequestClaimed) {
+            ownedRequests[record.key]?.takeIf { it.claim == record }?.let { claimReadBack(it, folded) }
+        } else if (record is KeyRecord) {
+            record.settledKey()?.let(ownedRequests::remove)
+        }
+    }
+
+    /** Settles keys that an earlier owner claimed: whether their requests ran can't be told. */
+    fun ownershipGained() {
+        state.keys.claimed
+            .forEach { context.appender.offer(RequestUnknown(context.epoch, it.key, ResultCode.OWNER_LOST)) }
+    }
+
+    /** Gives up what only the owner may do. Dispatches that are under way still answer their callers. */
+    fun ownershipLost() {
+        val unsent = ownedRequests.values.filter { it.token == null && it.claim !in context.appender }
+        unsent.forEach {
+            context.answerAll(
+                it.callers,
+                notRun(ResultCode.NOT_OWNER, "the partition has another owner"),
+            )
+        }
+        ownedRequests.values.removeIf { it in unsent || it.outcome != null }
+    }
+
+    /** Answers callers whose deadline has passed and queues outcomes that did not fit in the queue before. */
+    fun tick() {
+        ownedRequests.values.removeIf { owned -> expire(owned) }
+        ownedRequests.values.forEach(::settle)
+    }
+
+    private fun claim(
+        caller: Caller,
+        claim: RequestClaimed,
+    ) {
+        if (context.appender.offer(claim)) {
+            ownedRequests[claim.key] = OwnedRequest(claim).apply { callers += caller }
+        } else {
+            context.answer(caller, notRun(ResultCode.LOG_UNAVAILABLE, "the queue of the log is full"))
+        }
+    }
+
+    private fun claimReadBack(
+        owned: OwnedRequest,
+        folded: FoldedRecord,
+    ) {
+        val caller = owned.callers.firstOrNull()
+        when {
+            !folded.isValid || owned.claim.epoch != ownership.ownedEpoch -> {
+                context.answerAll(owned.callers, notRun(ResultCode.NOT_OWNER, "the claim was not valid"))
+                ownedRequests.remove(owned.claim.key)
+            }
+            caller == null -> {
+                owned.token = folded.position
+                owned.end(RequestOutcome.NotRun(ResultCode.DEADLINE_EXPIRED, "no caller waits any more"))
+                settle(owned)
+            }
+            else -> {
+                owned.token = folded.position
+                context.decide(OwnerDecision.DispatchPermitted(caller.requestId, owned.claim.key, folded.position))
+            }
+        }
+    }
+
+    private fun settle(owned: OwnedRequest) {
+        owned.settlement?.takeIf { ownership.mayWrite }?.let(context.appender::offer)
+    }
+
+    /** True if nothing is left of the request. */
+    private fun expire(owned: OwnedRequest): Boolean {
+        val expired = owned.callers.filter { it.deadline <= context.now }
+        owned.callers -= expired.toSet()
+        val isWithdrawn =
+            expired.isNotEmpty() && owned.callers.isEmpty() &&
+                context.appender.withdraw(owned.claim) == Withdrawal.WITHDRAWN
+        val answer =
+            when {
+                isWithdrawn -> notRun(ResultCode.LOG_UNAVAILABLE, "not appended before the deadline")
+                owned.token == null -> unknown(ResultCode.APPEND_NOT_CONFIRMED, "not read back before the deadline")
+                else -> unknown(ResultCode.DEADLINE_PASSED, "running at the deadline")
+            }
+        context.answerAll(expired.toMutableList(), answer)
+        return isWithdrawn
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Shutdown.kt
@@ -0,0 +1,33 @@
+/*
+ * Graceful shutdown of an entry's part in a partition.
+ */
+package org.greengagepass.core.process
+
+import org.greengagepass.core.Timestamp
+
+/** Releases the partition once nothing is in progress or the time for that has passed. */
+internal class Shutdown(
+    private val context: OwnerContext,
+    private val ownership: OwnershipTracker,
+) {
+    private var deadline: Timestamp? = null
+    private var isDone = false
+
+    /** The entry is stopping. */
+    fun begin() {
+        ownership.stop()
+        deadline = deadline ?: context.now.plusMillis(context.settings.shutdownMillis)
+    }
+
+    /** Moves on; [isBusy] is true while requests are in progress. */
+    fun tick(isBusy: Boolean) {
+        val end = deadline ?: return
+        if (!isBusy || context.now >= end) {
+            ownership.release()
+        }
+        if (!isDone && ownership.ownedEpoch == null && context.appender.size == 0) {
+            isDone = true
+            context.decide(OwnerDecision.ReleaseRecorded)
+        }
+    }
+}
