Check the owner's decisions against random histories with faults

Change: a seeded simulation of log, workers, agents, entries and callers; entries and agents die, pause (also between decision and action), are cut off from the log, messages are lost, doubled, late and reordered, hosts and agents are replaced, domains go out. AttemptEvent carries the agent's incarnation: a refusal counts only from the latest agent, and only for an attempt of this owner, because another agent may still be told to start it.

--- a/core/src/main/kotlin/org/greengagepass/core/process/Attempts.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Attempts.kt
@@ -24,7 +24,7 @@
         when {
             !ownership.mayWrite -> Unit
             attempt == null || attempt.token != event.token -> ends.record(event.host, event.token)
-            !ends.isEnding(event.token) -> apply(event.change, task, attempt)
+            !ends.isEnding(event.token) -> apply(event, task, attempt)
         }
     }
 
@@ -84,13 +84,13 @@
     }
 
     private fun apply(
-        change: AttemptChange,
+        event: AttemptEvent,
         task: Task,
         attempt: Attempt,
     ) {
-        when (change) {
+        when (val change = event.change) {
             is AttemptChange.Started -> started(task, attempt)
-            is AttemptChange.Refused -> ends.release(task, attempt, ReleaseReason.REFUSED)
+            is AttemptChange.Refused -> refused(event, task, attempt)
             is AttemptChange.Checkpointed -> checkpointed(task, attempt, change.checkpoint)
             is AttemptChange.Finished -> ends.finish(task, attempt, change.result)
             is AttemptChange.Stopped -> {
@@ -99,4 +99,19 @@
             }
         }
     }
+
+    /**
+     * A refusal proves that nothing runs only if no other agent was or can be told to start the attempt: not an
+     * agent that replaced the sender, nor one that an earlier owner may still answer.
+     */
+    private fun refused(
+        event: AttemptEvent,
+        task: Task,
+        attempt: Attempt,
+    ) {
+        val isLatestAgent = hosts[event.host]?.heartbeat?.incarnation == event.incarnation
+        if (isLatestAgent && ends.isOwn(attempt)) {
+            ends.release(task, attempt, ReleaseReason.REFUSED)
+        }
+    }
 }
--- a/core/src/main/kotlin/org/greengagepass/core/process/Grants.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Grants.kt
@@ -101,13 +101,15 @@
         val isAssigned = task.state is TaskState.Assigned
         val isWanted = isAssigned && !task.cancelRequested && !draft.isOut
         val isFenced = draft.heartbeat.highestEpoch == context.epoch
+        val isOwn = ends.isOwn(attempt)
         val isUngranted = ends.leases.endOf(attempt.token) == null
         draft.uncounted += attempt.limit
         when {
-            isWanted && draft.startDeadline != null -> start(task, attempt, draft)
+            // Starts of an earlier owner's attempts are left to lapse: a refusal of one would prove nothing.
+            isWanted && isOwn && draft.startDeadline != null -> start(task, attempt, draft)
             // The permission may come back; until then nothing that this owner granted can run.
-            isWanted && isUngranted && ends.isOwn(attempt) -> Unit
-            isUngranted && !ends.isOwn(attempt) -> if (isFenced) grantLease(attempt)
+            isWanted && isOwn && isUngranted -> Unit
+            isUngranted && !isOwn -> if (isFenced) grantLease(attempt)
             else -> attempts.endIfLapsed(task, hostAnswers = isFenced)
         }
     }
--- a/core/src/main/kotlin/org/greengagepass/core/process/OwnerInput.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/OwnerInput.kt
@@ -59,6 +59,7 @@
     @SerialName("attemptEvent")
     public data class AttemptEvent(
         val host: HostId,
+        val incarnation: Incarnation,
         val taskId: TaskId,
         val token: FencingToken,
         val change: AttemptChange,
@@ -142,7 +143,7 @@
     @SerialName("started")
     public data object Started : AttemptChange()
 
-    /** It was not started and never will be: the agent refuses every later start under the same token. */
+    /** It was not started, and this agent refuses every later start under the same token. */
     @Serializable
     @SerialName("refused")
     public data class Refused(
--- /dev/null
+++ b/core/src/test/kotlin/org/greengagepass/core/process/FakeEntry.kt
@@ -0,0 +1,108 @@
+/*
+ * An entry process around PartitionOwner: it reads the log and the configuration, and carries decisions out.
+ */
+package org.greengagepass.core.process
+
+import org.greengagepass.core.EntryId
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.Timestamp
+
+internal class FakeEntry(
+    private val world: World,
+    val name: String,
+    settings: OwnerSettings,
+    state: PartitionState,
+) : ConfigurationView {
+    private val simulation = world.simulation
+    private val clock = DriftingClock(simulation)
+    private var pausedUntil = 0L
+    private var isHoldingNext = false
+    private var outDomains = emptySet<FailureDomainName>()
+    private var configurationConfirmedAt: Timestamp? = null
+    var isDead = false
+
+    /** The log and the configuration can't be reached, while hosts can. */
+    var isCutOff = false
+    val owner = PartitionOwner(OwnerIdentity(EntryId(name), "address of $name"), settings, FirstFit, this, state)
+
+    fun start() {
+        simulation.every(60L) { ifAlive { receive(OwnerInput.Tick) } }
+        simulation.every(150L) { ifAlive { if (!isCutOff) readLog() } }
+        simulation.every(400L) { ifAlive { if (!isCutOff) readConfiguration() } }
+    }
+
+    /** Stops the process for [millis]; [midway] stops it between a decision and carrying it out. */
+    fun pause(
+        millis: Long,
+        midway: Boolean,
+    ) {
+        pausedUntil = simulation.now + millis
+        isHoldingNext = midway
+    }
+
+    fun receive(input: OwnerInput) {
+        val isPaused = simulation.now < pausedUntil
+        when {
+            isDead -> Unit
+            isPaused && isHoldingNext -> {
+                isHoldingNext = false
+                val decisions = owner.handle(input, reading())
+                simulation.at(pausedUntil) { decisions.forEach(::carryOut) }
+            }
+            isPaused -> simulation.at(pausedUntil) { receive(input) }
+            else -> owner.handle(input, reading()).forEach(::carryOut)
+        }
+    }
+
+    override fun ageMillis(now: Timestamp): Long? = configurationConfirmedAt?.let(now::millisSince)
+
+    override fun isOut(failureDomain: FailureDomainName): Boolean = failureDomain in outDomains
+
+    fun deadline(millis: Long): Timestamp = clock.read().plusMillis(millis)
+
+    private fun reading() = ClockReading(clock.read(), simulation.now)
+
+    private fun ifAlive(action: () -> Unit): Boolean {
+        if (!isDead && simulation.now >= pausedUntil) action()
+        return !isDead
+    }
+
+    private fun readLog() = world.log.read(clock.read(), owner.state.nextOffset, ::receive)
+
+    private fun readConfiguration() {
+        val sentAt = clock.read()
+        simulation.send {
+            if (!world.log.isDown) {
+                val seen = world.outDomains()
+                simulation.send { configurationRead(sentAt, seen) }
+            }
+        }
+    }
+
+    private fun configurationRead(
+        sentAt: Timestamp,
+        seen: Set<FailureDomainName>,
+    ) {
+        if (simulation.now < pausedUntil) {
+            simulation.at(pausedUntil) { configurationRead(sentAt, seen) }
+        } else if (configurationConfirmedAt.let { it == null || it < sentAt }) {
+            configurationConfirmedAt = sentAt
+            outDomains = seen
+        }
+    }
+
+    private fun carryOut(decision: OwnerDecision) {
+        when (decision) {
+            is OwnerDecision.Append -> if (!isCutOff) world.log.append(decision.batch)
+            is OwnerDecision.SendGrant ->
+                simulation.send { world.host(decision.host).receive(decision.incarnation, decision.grant) }
+            is OwnerDecision.DispatchPermitted -> world.callers.dispatch(this, decision)
+            is OwnerDecision.AnswerCaller -> world.callers.answered(decision)
+            is OwnerDecision.WriteSnapshot -> world.snapshot = Snapshot.take(owner.state, name, recordsPerChunk = 7)
+            is OwnerDecision.ReleaseRecorded -> isDead = true
+            is OwnerDecision.RestoreRequired -> error("nothing expires in these histories")
+            is OwnerDecision.OwnershipGained -> world.guarantees.count("ownerships")
+            is OwnerDecision.OwnershipLost -> Unit
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/greengagepass/core/process/World.kt
@@ -0,0 +1,142 @@
+/*
+ * A partition with three entries and four hosts, and the faults that befall them in an order that the seed decides.
+ */
+package org.greengagepass.core.process
+
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.HostId
+
+internal class World(
+    seed: Long,
+) {
+    val simulation = Simulation(seed)
+    val guarantees = Guarantees()
+    val log = FakeLog(simulation, guarantees)
+    val callers = FakeCallers(this)
+    var snapshot: List<SnapshotChunk> = emptyList()
+    private val random = simulation.random
+    private val out = HashMap<FailureDomainName, Long>()
+    private val domains = listOf(FailureDomainName("medina"), FailureDomainName("port"))
+    private val hosts =
+        (0 until HOSTS).map { HostId("host-$it") }.associateWith { FakeHost(this, it, domains.random(random)) }
+    private val entries = ArrayList<FakeEntry>()
+    private var entryNumber = 0
+
+    fun host(host: HostId): FakeHost = hosts.getValue(host)
+
+    fun outDomains(): Set<FailureDomainName> = out.keys.toSet()
+
+    fun outSince(domain: FailureDomainName): Long? = out[domain]
+
+    /** Sends to every entry, so that an owner that was replaced hears from the hosts too. */
+    fun toEntries(input: OwnerInput) = entries.toList().forEach { simulation.send { it.receive(input) } }
+
+    /** Faults and work for [CHAOS_MILLIS], then a calm in which everything must come to its end. */
+    fun run() {
+        guarantees.settleAll = { hosts.values.forEach { it.worker?.settle() } }
+        hosts.values.forEach(FakeHost::boot)
+        repeat(ENTRIES) { startEntry() }
+        simulation.every(500L) { isChaotic { work() } }
+        val faultPeriod = random.nextLong(1_500, 12_000)
+        simulation.every(faultPeriod) { isChaotic { repeat(random.nextInt(1, 3)) { fault() } } }
+        simulation.runUntil(CHAOS_MILLIS)
+        simulation.isCalm = true
+        log.isDown = false
+        out.clear()
+        entries.forEach { it.isCutOff = false }
+        simulation.runUntil(END_MILLIS)
+        guarantees.checkEnd(callers.accepted)
+    }
+
+    private fun isChaotic(action: () -> Unit): Boolean {
+        val isChaotic = simulation.now < CHAOS_MILLIS
+        if (isChaotic) action()
+        return isChaotic
+    }
+
+    private fun startEntry() {
+        val restored = if (simulation.chance(percent = 50)) Snapshot.restore(snapshot) else null
+        val number = entryNumber++
+        val settings =
+            OwnerSettings(
+                outageAllowanceMillis = OUTAGE_ALLOWANCE_MILLIS,
+                claimDelayMillis = number % ENTRIES * 200L,
+                retention = RetentionSettings(snapshotMillis = 5_000),
+            )
+        val entry = FakeEntry(this, "entry-$number", settings, restored ?: PartitionState())
+        entries += entry
+        entry.start()
+    }
+
+    private fun work() {
+        val entry = entries.random(random)
+        when (random.nextInt(10)) {
+            in 0..3 -> callers.submit(entry)
+            in 4..7 -> callers.request(entry)
+            8 -> callers.cancel(entry)
+            else -> entries.forEach(callers::evict)
+        }
+    }
+
+    private fun fault() {
+        val entry = entries.random(random)
+        val host = hosts.values.random(random)
+        when (random.nextInt(13)) {
+            0, 1 -> replace(entry) { entry.isDead = true }
+            2 -> replace(entry) { entry.receive(OwnerInput.Shutdown) }
+            3, 4 -> entry.pause(random.nextLong(500, 30_000), midway = simulation.chance(percent = 50))
+            5, 6 -> cutOff(entry)
+            7 -> host.pauseAgent(random.nextLong(500, 15_000))
+            8, 9 -> {
+                host.killAgent()
+                simulation.after(100L..14_000L) { host.startAgent() }
+            }
+            10 -> {
+                host.crash()
+                simulation.after(3_000L..30_000L) { host.boot() }
+            }
+            11 -> takeLogDown()
+            else -> toggle(domains.random(random))
+        }
+    }
+
+    private fun replace(
+        entry: FakeEntry,
+        stop: () -> Unit,
+    ) {
+        stop()
+        simulation.after(500L..15_000L) {
+            entries.removeIf { it.isDead }
+            if (entries.size < ENTRIES) startEntry()
+        }
+        simulation.after(40_000L..40_000L) {
+            entry.isDead = true
+            entries.remove(entry)
+            while (entries.size < ENTRIES) startEntry()
+        }
+    }
+
+    private fun cutOff(entry: FakeEntry) {
+        entry.isCutOff = true
+        simulation.after(2_000L..60_000L) { entry.isCutOff = false }
+    }
+
+    private fun takeLogDown() {
+        log.isDown = true
+        simulation.after(500L..30_000L) { log.isDown = false }
+    }
+
+    private fun toggle(domain: FailureDomainName) {
+        if (out.remove(domain) == null) out[domain] = simulation.now
+    }
+
+    companion object {
+        private const val HOSTS = 4
+        private const val ENTRIES = 3
+
+        /** Shorter than the real allowance, so that histories reach its end. */
+        private const val OUTAGE_ALLOWANCE_MILLIS = 30_000L
+        private const val CHAOS_MILLIS = 120_000L
+        private const val END_MILLIS = 420_000L
+    }
+}
