Add host admission and request slots

Change: HostAdmission commits the limit of a start until a report shows that the worker cannot run it: a report whose clock is past the deadline of the start and that does not list it. The first decision on a token is final. RequestAdmission gives out the slots of the upstreams with a bounded queue.

Ruled out: dropping a commitment on any report that does not list it (a start that is still on its way is missed), and taking a refusal by the worker as proof after a lost answer (an earlier call may have run).

--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/HostAdmission.kt
@@ -0,0 +1,226 @@
+/*
+ * The single authority for the capacity of a host. It admits a start only if the enforced limits of everything that
+ * runs or may run on the worker, plus the reserve for the upstreams, fit the host. What the worker did with a start
+ * is learnt from reports only; until one is conclusive the start keeps its capacity.
+ */
+package org.greengagepass.core.process
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.FencingToken
+import org.greengagepass.core.Resources
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.TaskId
+import org.greengagepass.core.Timestamp
+
+/** Why something was not admitted. Nothing ran. */
+public data class AdmissionRefusal(
+    val code: ResultCode,
+    val detail: String,
+)
+
+/** A start that the owner of the partition asks for. */
+public data class StartRequest(
+    val epoch: Epoch,
+    val taskId: TaskId,
+    val token: FencingToken,
+    val limit: Resources,
+    val startDeadlineWorkerClock: Timestamp,
+)
+
+/** What to do with a start that was not refused. */
+public sealed class StartAdmission {
+    /** The capacity is committed; the start may be sent to the worker. */
+    public data object Admitted : StartAdmission()
+
+    /** This token was admitted before; nothing may be sent, the events of the attempt say what became of it. */
+    public data object AlreadyAdmitted : StartAdmission()
+}
+
+/** What came back from a call that starts an attempt on the worker. */
+public sealed class StartAnswer {
+    /** The worker took the start. */
+    public data object Accepted : StartAnswer()
+
+    /** No answer came, so the start may have taken effect or may do so until its deadline. */
+    public data object Lost : StartAnswer()
+
+    /** The worker refused the call. */
+    public data class Refused(
+        val refusal: AdmissionRefusal,
+    ) : StartAnswer()
+}
+
+/** An attempt in a report of the worker. [holdsCapacity] is false once it has ended. */
+public data class ReportedAttempt(
+    val taskId: TaskId,
+    val token: FencingToken,
+    val limit: Resources,
+    val holdsCapacity: Boolean,
+)
+
+/** What the worker holds at [clock], a reading of its own clock. */
+public data class HostReport(
+    val clock: Timestamp,
+    val capacity: Resources,
+    val attempts: List<ReportedAttempt>,
+)
+
+/**
+ * Admission to one host. [reserve] is kept for the upstreams beside the worker. An instance lasts for one
+ * incarnation of the agent and one life of the worker: when the worker's clock starts anew, so does the instance.
+ */
+public class HostAdmission(
+    private val reserve: Resources,
+    attemptsRemembered: Int = ATTEMPTS_REMEMBERED,
+) {
+    private val handled = HandledAttempts(attemptsRemembered)
+    private val committed = LinkedHashMap<FencingToken, Commitment>()
+    private var draining = false
+    private var newestReport: HostReport? = null
+
+    /** Admission of requests to the upstreams beside the worker. */
+    public val requests: RequestAdmission = RequestAdmission()
+
+    /** Highest epoch that a start or [checkEpoch] has shown. */
+    public var highestEpoch: Epoch = Epoch.NONE
+        private set
+
+    /** True once the worker has reported what runs. */
+    public val isReady: Boolean
+        get() = newestReport != null
+
+    /** Sum of the limits of all attempts that run or may run. */
+    public val committedLimits: Resources
+        get() = committed.values.fold(Resources.NONE) { sum, commitment -> sum + commitment.limit }
+
+    /** What a further start may use; negative where a report shows more than the host can hold. */
+    public val free: Resources
+        get() = newestReport?.let { it.capacity - reserve - committedLimits } ?: Resources.NONE
+
+    /** Refuses an epoch lower than the highest seen, for grants and commands without starts. */
+    public fun checkEpoch(epoch: Epoch): Either<AdmissionRefusal, Unit> {
+        if (epoch < highestEpoch) {
+            val detail = "epoch ${epoch.value} is over, epoch ${highestEpoch.value} was seen"
+            return AdmissionRefusal(ResultCode.NOT_OWNER, detail).left()
+        }
+        highestEpoch = epoch
+        return Unit.right()
+    }
+
+    /**
+     * Decides on [request]. The first decision on a token is final: a repeat of a refused start is refused again,
+     * because its owner may have acted on the refusal already.
+     */
+    public fun admit(request: StartRequest): Either<AdmissionRefusal, StartAdmission> {
+        val earlier = handled.decisionOn(request.token)
+        if (earlier != null) {
+            return earlier.refusal?.left() ?: StartAdmission.AlreadyAdmitted.right()
+        }
+        val refusal = refusalOf(request)
+        handled.remember(HandledAttempt(request.taskId, request.token, refusal), committed.keys)
+        return refusal?.left() ?: commit(request).right()
+    }
+
+    /**
+     * Takes the worker's [answer] to one call that starts [token]. Returns true if it proves that the attempt does
+     * not run. A refusal after a lost answer or an acceptance proves nothing: an earlier call may have taken effect.
+     */
+    public fun startAnswered(
+        token: FencingToken,
+        answer: StartAnswer,
+    ): Boolean {
+        val commitment = committed[token]?.takeUnless { it.mayRun } ?: return false
+        if (answer is StartAnswer.Refused) {
+            committed.remove(token)
+            handled.remember(HandledAttempt(commitment.taskId, token, answer.refusal), committed.keys)
+        } else {
+            commitment.mayRun = true
+        }
+        return answer is StartAnswer.Refused
+    }
+
+    /**
+     * Takes [report] as the newest state of the worker. Returns false, and changes nothing, if a later one is known.
+     * A commitment that the report does not list is dropped only if the worker can't start it any more.
+     */
+    public fun apply(report: HostReport): Boolean {
+        val newest = newestReport
+        if (newest != null && report.clock < newest.clock) return false
+        newestReport = report
+        val listed = report.attempts.mapTo(HashSet()) { it.token }
+        committed.entries.removeIf { (token, commitment) ->
+            token in listed || report.clock > commitment.mayAppearUntil
+        }
+        report.attempts.filter { it.holdsCapacity }.forEach { attempt ->
+            committed[attempt.token] =
+                Commitment(attempt.taskId, attempt.limit, mayAppearUntil = report.clock, mayRun = true)
+        }
+        report.attempts.forEach { handled.remember(HandledAttempt(it.taskId, it.token), committed.keys) }
+        return true
+    }
+
+    /** Admits no further start or request; the agent is stopping. */
+    public fun drain() {
+        draining = true
+        requests.drain()
+    }
+
+    private fun commit(request: StartRequest): StartAdmission {
+        committed[request.token] =
+            Commitment(request.taskId, request.limit, mayAppearUntil = request.startDeadlineWorkerClock)
+        return StartAdmission.Admitted
+    }
+
+    private fun refusalOf(request: StartRequest): AdmissionRefusal? =
+        checkEpoch(request.epoch).leftOrNull()
+            ?: refusalOfHost(request)
+            ?: refusalOfToken(request)
+            ?: refusalOfSize(request.limit, free)
+
+    private fun refusalOfHost(request: StartRequest): AdmissionRefusal? {
+        val report = newestReport
+        return when {
+            draining -> AdmissionRefusal(ResultCode.DRAINING, "the agent is stopping")
+            report == null -> AdmissionRefusal(ResultCode.HOST_FULL, "the worker has not reported what runs yet")
+            request.startDeadlineWorkerClock < report.clock ->
+                AdmissionRefusal(ResultCode.STALE_PERMISSION, "the deadline of the start has passed")
+            else -> null
+        }
+    }
+
+    private fun refusalOfToken(request: StartRequest): AdmissionRefusal? =
+        when {
+            handled.isOutdated(request.taskId, request.token) ->
+                AdmissionRefusal(ResultCode.STALE_PERMISSION, "a later attempt of the task is known")
+            committed.values.any { it.taskId == request.taskId } ->
+                AdmissionRefusal(ResultCode.HOST_FULL, "an earlier attempt of the task may still run on this host")
+            else -> null
+        }
+
+    /** Capacity that an attempt holds until a report later than [mayAppearUntil] does not list it. */
+    private class Commitment(
+        val taskId: TaskId,
+        val limit: Resources,
+        val mayAppearUntil: Timestamp,
+        var mayRun: Boolean = false,
+    )
+
+    public companion object {
+        /** Attempts whose decisions are remembered: several hours of starts on a busy host. */
+        public const val ATTEMPTS_REMEMBERED: Int = 4_096
+    }
+}
+
+private fun refusalOfSize(
+    limit: Resources,
+    free: Resources,
+): AdmissionRefusal? =
+    when {
+        !Resources.NONE.fitsIn(limit) || limit == Resources.NONE ->
+            AdmissionRefusal(ResultCode.INVALID_VALUE, "the limit must be positive: $limit")
+        !limit.fitsIn(free) -> AdmissionRefusal(ResultCode.HOST_FULL, "limit $limit exceeds what is free: $free")
+        else -> null
+    }
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/RequestAdmission.kt
@@ -0,0 +1,176 @@
+/*
+ * Slots of the upstreams on a host. A request gets a free slot, waits in a short queue, or is refused with a proof
+ * that it did not run. An announcement lasts a few seconds, so an upstream that falls silent gets nothing new.
+ */
+package org.greengagepass.core.process
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import org.greengagepass.core.RequestId
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.ServiceName
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.version.Priority
+
+/** A request that asks for a slot. The deadline is a reading of the agent's clock. */
+public data class SlotRequest(
+    val requestId: RequestId,
+    val service: ServiceName,
+    val deadlineAgentClock: Timestamp,
+    val priority: Priority = Priority.NORMAL,
+)
+
+/** What upstreams of a service have free. */
+public data class SlotState(
+    val freeSlots: Int,
+    val queueLength: Int,
+    val leaving: Boolean,
+)
+
+/** A request to send to the upstream at [address], in whose slot it is now. */
+public data class SlotGranted(
+    val requestId: RequestId,
+    val address: String,
+)
+
+/** A queued request that will not run. */
+public data class SlotRefused(
+    val requestId: RequestId,
+    val refusal: AdmissionRefusal,
+)
+
+/** What follows from a change: requests to send now, and queued requests that were refused. */
+public data class SlotChanges(
+    val granted: List<SlotGranted> = emptyList(),
+    val refused: List<SlotRefused> = emptyList(),
+)
+
+/** Admission of requests to all upstreams of one host. All times are readings of the agent's clock. */
+public class RequestAdmission(
+    private val queueLimit: Int = QUEUE_LIMIT,
+) {
+    private val upstreams = UpstreamSlots()
+    private val queue = ArrayList<SlotRequest>()
+    private var draining = false
+
+    /** The upstream at [address] announced itself; the announcement lasts [ANNOUNCEMENT_MILLIS]. */
+    public fun announce(
+        service: ServiceName,
+        address: String,
+        slots: Int,
+        leaving: Boolean,
+        now: Timestamp,
+    ): SlotChanges {
+        val expiry = now.plusMillis(ANNOUNCEMENT_MILLIS)
+        upstreams.announce(AnnouncedUpstream(service, address, slots.coerceAtLeast(0), leaving, expiry))
+        return advance(now)
+    }
+
+    /** State of [service] for the heartbeat, or null if no upstream of it is announced. */
+    public fun stateOf(
+        service: ServiceName,
+        now: Timestamp,
+    ): SlotState? {
+        val announced = upstreams.announced(service, now).ifEmpty { return null }
+        return SlotState(
+            freeSlots = announced.sumOf { upstreams.freeSlots(it, now) },
+            queueLength = queue.count { it.service == service },
+            leaving = announced.all { it.leaving },
+        )
+    }
+
+    /**
+     * Asks for a slot. On success the changes hold either the grant of this request or none, if it is queued. A
+     * queued request of lower priority may be refused in its place.
+     */
+    public fun offer(
+        request: SlotRequest,
+        now: Timestamp,
+    ): Either<AdmissionRefusal, SlotChanges> =
+        either {
+            refusalOf(request, now)?.let { raise(it) }
+            val earlier = advance(now)
+            val displaced = if (queue.size >= queueLimit) displacedBy(request) else null
+            val fits = queue.size < queueLimit || displaced != null || upstreams.best(request.service, now) != null
+            ensure(fits) { AdmissionRefusal(ResultCode.OVERLOADED, "all slots and the queue are taken") }
+            queue.add(request)
+            val later = advance(now)
+            val refused = displaced?.takeIf { queue.size > queueLimit }?.let { listOf(displace(it)) }.orEmpty()
+            SlotChanges(earlier.granted + later.granted, earlier.refused + later.refused + refused)
+        }
+
+    /** The request has ended or is proven not to run; its slot is free. */
+    public fun complete(
+        requestId: RequestId,
+        now: Timestamp,
+    ): SlotChanges {
+        upstreams.release(requestId)
+        return advance(now)
+    }
+
+    /** Grants free slots to queued requests and refuses those that can't start any more. */
+    public fun advance(now: Timestamp): SlotChanges {
+        upstreams.dropExpired(now)
+        val refused = queue.mapNotNull { request -> refusalInQueue(request, now) }
+        val refusedIds = refused.mapTo(HashSet()) { it.requestId }
+        queue.removeIf { it.requestId in refusedIds }
+        val granted = queue.sortedBy { it.priority }.mapNotNull { upstreams.take(it, now) }
+        val grantedIds = granted.mapTo(HashSet()) { it.requestId }
+        queue.removeIf { it.requestId in grantedIds }
+        return SlotChanges(granted, refused)
+    }
+
+    /** Refuses all further requests; what is queued or running is finished. */
+    public fun drain() {
+        draining = true
+    }
+
+    private fun refusalOf(
+        request: SlotRequest,
+        now: Timestamp,
+    ): AdmissionRefusal? {
+        val announced = upstreams.announced(request.service, now)
+        return when {
+            draining -> AdmissionRefusal(ResultCode.DRAINING, "the agent is stopping")
+            request.deadlineAgentClock <= now ->
+                AdmissionRefusal(ResultCode.DEADLINE_EXPIRED, "the deadline passed before the request started")
+            announced.isEmpty() ->
+                AdmissionRefusal(ResultCode.NO_UPSTREAM, "no upstream of ${request.service.value}")
+            announced.all { it.leaving } -> AdmissionRefusal(ResultCode.DRAINING, "the upstream is leaving")
+            else -> null
+        }
+    }
+
+    private fun refusalInQueue(
+        request: SlotRequest,
+        now: Timestamp,
+    ): SlotRefused? {
+        val refusal =
+            when {
+                request.deadlineAgentClock <= now ->
+                    AdmissionRefusal(ResultCode.DEADLINE_EXPIRED, "the deadline passed in the queue")
+                upstreams.announced(request.service, now).all { it.leaving } ->
+                    AdmissionRefusal(ResultCode.DRAINING, "the upstream left while the request was queued")
+                else -> null
+            }
+        return refusal?.let { SlotRefused(request.requestId, it) }
+    }
+
+    private fun displacedBy(request: SlotRequest): SlotRequest? =
+        queue.maxByOrNull { it.priority }?.takeIf { it.priority > request.priority }
+
+    private fun displace(request: SlotRequest): SlotRefused {
+        queue.remove(request)
+        val refusal = AdmissionRefusal(ResultCode.OVERLOADED, "displaced by a request of higher priority")
+        return SlotRefused(request.requestId, refusal)
+    }
+
+    public companion object {
+        /** Requests that may wait on a host: as many as the slots of one upstream. */
+        public const val QUEUE_LIMIT: Int = 8
+
+        /** How long an announcement lasts unless it is repeated. */
+        public const val ANNOUNCEMENT_MILLIS: Long = 3_000
+    }
+}
