--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/InterferenceModel.kt
@@ -0,0 +1,110 @@
+/*
+ * Learns how much each kind of batch work slows each latency-critical kind. The logarithm of the latency is modelled
+ * as a base plus one term for the load of the service plus one for each kind beside it, in proportion to the share
+ * of the host's cores that the kind uses. Each term has a variance, which grows again as its evidence gets old.
+ */
+package org.greengagepass.core.process
+
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.WorkKind
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.pow
+import kotlin.math.sqrt
+
+/** Latency of one service on one host, with the share of the host's cores that each kind beside it used. */
+public data class SlowdownSample(
+    val service: WorkKind,
+    val latencyMillis: Double,
+    /** Part of the service's slots that are in use, from 0 to 1. */
+    val utilization: Double,
+    val coreShares: Map<WorkKind, Double>,
+    val measuredAt: Timestamp,
+)
+
+/** Expected slowdown ratio, and the standard deviation of its logarithm. */
+public data class Slowdown(
+    val ratio: Double,
+    val uncertainty: Double,
+)
+
+/** Pairwise slowdowns. The update is a Kalman filter with a diagonal covariance. */
+public class InterferenceModel {
+    private val bases = HashMap<WorkKind, Term>()
+    private val loads = HashMap<WorkKind, Term>()
+    private val pairs = HashMap<Pair<WorkKind, WorkKind>, Term>()
+
+    /** Learns from [sample]. */
+    public fun learn(sample: SlowdownSample) {
+        if (sample.latencyMillis <= 0.0) return
+        val logLatency = ln(sample.latencyMillis)
+        val base = bases.getOrPut(sample.service) { Term(logLatency, BASE_VARIANCE, sample.measuredAt) }
+        val load = loads.getOrPut(sample.service) { Term(0.0, PRIOR_VARIANCE, sample.measuredAt) }
+        val inputs = arrayListOf(base to 1.0, load to loadInput(sample.utilization))
+        sample.coreShares.forEach { (kind, share) ->
+            val term = pairs.getOrPut(sample.service to kind) { Term(0.0, PRIOR_VARIANCE, sample.measuredAt) }
+            term.age(sample.measuredAt)
+            inputs += term to share
+        }
+        update(inputs, logLatency)
+    }
+
+    /** Expected slowdown of [service] by [kind] using [coreShare] of the host's cores. */
+    public fun slowdown(
+        service: WorkKind,
+        kind: WorkKind,
+        coreShare: Double,
+    ): Slowdown {
+        val term = pairs[service to kind]
+        val mean = term?.mean ?: 0.0
+        val variance = term?.variance ?: PRIOR_VARIANCE
+        return Slowdown(ratio = exp(mean * coreShare), uncertainty = sqrt(variance) * coreShare)
+    }
+
+    private fun update(
+        inputs: List<Pair<Term, Double>>,
+        logLatency: Double,
+    ) {
+        val error = logLatency - inputs.sumOf { (term, input) -> term.mean * input }
+        val spread = MEASUREMENT_VARIANCE + inputs.sumOf { (term, input) -> input * input * term.variance }
+        inputs.forEachIndexed { index, (term, input) ->
+            val gain = term.variance * input / spread
+            val mean = term.mean + gain * error
+            // Neither load nor a neighbour makes a service faster; only the base may be negative.
+            term.mean = if (index == 0) mean else mean.coerceAtLeast(0.0)
+            term.variance = (term.variance * (1.0 - gain * input)).coerceAtLeast(VARIANCE_MINIMUM)
+        }
+    }
+
+    /** In a queue the wait grows with 1 / (1 - utilization); the input is the logarithm of that. */
+    private fun loadInput(utilization: Double): Double = -ln(1.0 - utilization.coerceIn(0.0, UTILIZATION_MAXIMUM))
+
+    private class Term(
+        var mean: Double,
+        var variance: Double,
+        var agedAt: Timestamp,
+    ) {
+        fun age(now: Timestamp) {
+            val elapsed = now.millisSince(agedAt).coerceAtLeast(0)
+            val kept = HALF.pow(elapsed.toDouble() / HALF_LIFE_MILLIS)
+            mean *= kept
+            variance = PRIOR_VARIANCE - (PRIOR_VARIANCE - variance) * kept
+            agedAt = maxOf(agedAt, now)
+        }
+    }
+
+    public companion object {
+        /** Time in which evidence on a pair loses half of its weight. */
+        public const val HALF_LIFE_MILLIS: Long = 600_000
+    }
+}
+
+/** A kind that was never seen beside a service may slow it by a factor e at full use of the host. */
+private const val PRIOR_VARIANCE = 1.0
+private const val BASE_VARIANCE = 0.25
+
+/** Variance of the logarithm of a percentile of one window; a factor of 1.35 either way is common. */
+private const val MEASUREMENT_VARIANCE = 0.09
+private const val VARIANCE_MINIMUM = 1e-4
+private const val UTILIZATION_MAXIMUM = 0.95
+private const val HALF = 0.5
--- /dev/null
+++ b/core/src/test/kotlin/org/greengagepass/core/process/ColocationControllerTest.kt
@@ -0,0 +1,138 @@
+/*
+ * The colocation control under random lags: it acts once on each piece of evidence, respects profiles, and does not
+ * swing between throttling and release.
+ */
+package org.greengagepass.core.process
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.coroutines.test.runTest
+import org.greengagepass.core.HostId
+import org.greengagepass.core.TaskId
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.WorkKind
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isNull
+import kotlin.random.Random
+
+private const val SEED = 20_261_206L
+private const val OBJECTIVE = 100L
+private val HOST = HostId("host")
+private val SERVICE = WorkKind("fit-preview")
+private val NOISY = task("noisy", lostWork = 900)
+private val CHEAP = task("cheap", lostWork = 10)
+
+private fun task(
+    name: String,
+    lostWork: Long,
+    evictable: Boolean = true,
+    throttleable: Boolean = true,
+) = ColocatedTask(TaskId(name), WorkKind(name), coreShare = 0.3, evictable, throttleable, lostWork)
+
+class ColocationControllerTest {
+    private val controller = ColocationController()
+    private var clock = 0L
+
+    @Test
+    fun `every action rests on evidence measured after the last one took effect, whatever the lags`() =
+        runTest {
+            checkAll(PropTestConfig(seed = SEED, iterations = 400), Arb.long()) { seed -> runHistory(Random(seed)) }
+        }
+
+    @Test
+    fun `the worst task is throttled first, and the one with the least lost work evicted next`() {
+        teachThatNoisyIsWorst()
+        val first = observeUntilAction(listOf(NOISY, CHEAP))
+        expectThat(first).isEqualTo(ColocationAction.Throttle(HOST, NOISY.taskId, permille = 250))
+        controller.tookEffect(first, Timestamp(clock))
+        expectThat(observeUntilAction(listOf(NOISY, CHEAP))).isEqualTo(ColocationAction.Evict(HOST, CHEAP.taskId))
+    }
+
+    @Test
+    fun `a task whose profile forbids both is left alone`() {
+        val fixed = task("fixed", lostWork = 0, evictable = false, throttleable = false)
+        repeat(times = 50) { expectThat(observe(latency = 400.0, listOf(fixed))).isNull() }
+    }
+
+    @Test
+    fun `no release happens between the release fraction and the objective`() {
+        throttleOne()
+        repeat(times = 50) { expectThat(observe(latency = 85.0, listOf(NOISY))).isNull() }
+    }
+
+    @Test
+    fun `a throttled task is released after the latency stayed low, not after one low window`() {
+        throttleOne()
+        repeat(times = ColocationController.CALM_WINDOWS - 1) {
+            expectThat(observe(latency = 10.0, listOf(NOISY.copy(coreShare = 0.05)))).isNull()
+        }
+        expectThat(observe(latency = 10.0, listOf(NOISY.copy(coreShare = 0.05)))).isA<ColocationAction.Release>()
+    }
+
+    private fun runHistory(random: Random) {
+        val controller = ColocationController()
+        val inFlight = ArrayList<Pair<ColocationAction, Long>>()
+        val delayed = ArrayList<HostObservation>()
+        var lastEffect = Long.MIN_VALUE
+        for (now in 1_000L..120_000L step 500) {
+            inFlight.filter { it.second <= now }.forEach { (action, effect) ->
+                controller.tookEffect(action, Timestamp(effect))
+                lastEffect = maxOf(lastEffect, effect)
+            }
+            inFlight.removeIf { it.second <= now }
+            delayed += observation(now - 1_000, now, latency = random.nextDouble(20.0, 300.0), listOf(NOISY, CHEAP))
+            val observation = delayed.random(random)
+            if (random.nextBoolean()) delayed.remove(observation)
+            val action = controller.decide(observation, Timestamp(now)) ?: continue
+            expectThat(inFlight.size).isEqualTo(0)
+            expectThat(observation.windowStart.millis).isGreaterThanOrEqualTo(lastEffect)
+            inFlight += action to now + random.nextLong(0, 6_000)
+        }
+    }
+
+    private fun teachThatNoisyIsWorst() {
+        repeat(times = 60) {
+            observe(latency = 20.0, listOf(CHEAP))
+            observe(latency = 95.0, listOf(NOISY, CHEAP))
+        }
+    }
+
+    private fun throttleOne() {
+        val action = observeUntilAction(listOf(NOISY))
+        controller.tookEffect(action, Timestamp(clock))
+    }
+
+    private fun observeUntilAction(tasks: List<ColocatedTask>): ColocationAction =
+        generateSequence { observe(latency = 200.0, tasks) ?: Unit }
+            .take(n = 10)
+            .filterIsInstance<ColocationAction>()
+            .first()
+
+    private fun observe(
+        latency: Double,
+        tasks: List<ColocatedTask>,
+    ): ColocationAction? {
+        val start = clock
+        clock += 1_000
+        return controller.decide(observation(start, clock, latency, tasks), Timestamp(clock))
+    }
+
+    private fun observation(
+        start: Long,
+        end: Long,
+        latency: Double,
+        tasks: List<ColocatedTask>,
+    ) = HostObservation(
+        HOST,
+        Timestamp(start),
+        Timestamp(end),
+        listOf(ServiceObservation(SERVICE, latency, utilization = 0.3, OBJECTIVE)),
+        tasks,
+    )
+}
