Add the platform's HTTP clients and its stand-ins

Cause: nothing could run over a whole path without a log, workers and executors to talk to. Change: module platform holds clients on the JDK's HTTP client. Module stand-ins holds one program with the commands log, worker and executor.

--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/Main.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/Main.kt
@@ -1,9 +1,14 @@
 /*
- * Starts the process.
+ * Starts a stand-in.
  */
 package org.greengagepass.standins
 
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+
 /** Runs the program with [arguments]. */
 public fun main(arguments: Array<String>) {
-    println(arguments.joinToString())
+    StandInsCommand()
+        .subcommands(LogCommand(), WorkerCommand(), ExecutorCommand())
+        .main(arguments)
 }
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/WorkerRoutes.kt
@@ -0,0 +1,93 @@
+/*
+ * HTTP interface of the worker stand-in, with the faults that tests ask for.
+ */
+package org.greengagepass.standins.process
+
+import arrow.core.Either
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.request.receive
+import io.ktor.server.response.respond
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.RoutingContext
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import kotlinx.coroutines.delay
+import kotlinx.serialization.Serializable
+import org.greengagepass.core.Timestamp
+import org.greengagepass.platform.process.DoneBody
+import org.greengagepass.platform.process.ForgetBody
+import org.greengagepass.platform.process.IncarnationBody
+import org.greengagepass.platform.process.RefusalBody
+import org.greengagepass.platform.process.RefusalReason
+import org.greengagepass.platform.process.RenewBody
+import org.greengagepass.platform.process.StartBody
+import org.greengagepass.platform.process.ThrottleBody
+import org.greengagepass.platform.process.TokenBody
+
+/** Faults of the worker. [answersLost] says how many of the next operations take effect without an answer. */
+@Serializable
+public data class WorkerFaults(
+    val outage: Boolean = false,
+    val delayMillis: Long = 0,
+    val answersLost: Int = 0,
+    val failsAll: Boolean = false,
+)
+
+/** Serves [worker] with times given by [clock]. */
+public class WorkerRoutes(
+    private val worker: SimulatedWorker,
+    private val clock: () -> Timestamp,
+) {
+    @Volatile
+    private var faults = WorkerFaults()
+
+    /** Adds the routes to [routing]. */
+    public fun install(routing: Routing) {
+        installOperations(routing)
+        routing.get("/history") {
+            worker.advance(clock())
+            call.respond(worker.history(call.request.queryParameters["from"]?.toLongOrNull() ?: 0))
+        }
+        routing.get("/control/faults") { call.respond(faults) }
+        routing.put("/control/faults") {
+            faults = call.receive()
+            worker.failsAll = faults.failsAll
+            call.respond(faults)
+        }
+    }
+
+    private fun installOperations(routing: Routing) {
+        routing.post("/attach") { answer<IncarnationBody> { worker.attach(it.incarnation, clock()) } }
+        routing.post("/report") { answer<IncarnationBody> { worker.report(it.incarnation, clock()) } }
+        routing.post("/start") { answer<StartBody> { worker.start(it.incarnation, it.start, clock()) } }
+        routing.post("/renew") { answer<RenewBody> { worker.renew(it, clock()) } }
+        routing.post("/throttle") { answer<ThrottleBody> { worker.throttle(it, clock()) } }
+        routing.post("/checkpoint") { answer<TokenBody> { worker.checkpoint(it.incarnation, it.token, clock()) } }
+        routing.post("/stop") { answer<TokenBody> { worker.stop(it.incarnation, it.token, clock()) } }
+        routing.post("/forget") { answer<ForgetBody> { worker.forget(it.incarnation, it.tokens, clock()) } }
+    }
+
+    private suspend inline fun <reified B : Any> RoutingContext.answer(operation: (B) -> Either<RefusalBody, Any>) {
+        val body = call.receive<B>()
+        delay(faults.delayMillis)
+        if (faults.outage) {
+            return refuse(RefusalBody(RefusalReason.UNAVAILABLE, "the worker is out"))
+        }
+        val outcome = operation(body)
+        if (takeLostAnswer()) {
+            call.respond(HttpStatusCode.BadGateway, "")
+        } else {
+            outcome.fold({ refuse(it) }, { call.respond(if (it is Unit) DoneBody else it) })
+        }
+    }
+
+    private suspend fun RoutingContext.refuse(refusal: RefusalBody) = call.respond(HttpStatusCode.Conflict, refusal)
+
+    @Synchronized
+    private fun takeLostAnswer(): Boolean {
+        val lost = faults.answersLost
+        if (lost > 0) faults = faults.copy(answersLost = lost - 1)
+        return lost > 0
+    }
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/request/Announcer.kt
@@ -0,0 +1,55 @@
+/*
+ * Announces an executor to the agent on its host every second, for as long as the executor runs.
+ */
+package org.greengagepass.standins.request
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.future.await
+import kotlinx.serialization.json.Json
+import org.greengagepass.platform.process.Announcement
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+
+private const val PERIOD_MILLIS = 1_000L
+
+/** Sends [announcement] to the agent at [agentAddress] until it says leaving. */
+public class Announcer(
+    private val client: HttpClient,
+    private val agentAddress: String,
+    private val announcement: Announcement,
+) {
+    /** Repeats the announcement every second; an agent that is not there yet is tried again. */
+    public suspend fun run() {
+        while (true) {
+            send(announcement)
+            delay(PERIOD_MILLIS)
+        }
+    }
+
+    /** Says that the executor leaves. True if the agent took it. */
+    public suspend fun leave(): Boolean = send(announcement.copy(leaving = true))
+
+    private suspend fun send(announcement: Announcement): Boolean =
+        try {
+            val answer = client.sendAsync(request(announcement), HttpResponse.BodyHandlers.discarding()).await()
+            answer.statusCode() == STATUS_OK
+        } catch (_: IOException) {
+            false
+        }
+
+    private fun request(announcement: Announcement): HttpRequest =
+        HttpRequest
+            .newBuilder(URI.create("$agentAddress/announcements"))
+            .timeout(Duration.ofMillis(PERIOD_MILLIS))
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(Json.encodeToString(Announcement.serializer(), announcement)))
+            .build()
+
+    private companion object {
+        private const val STATUS_OK = 200
+    }
+}
