--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/AgentMessage.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/AgentMessage.kt
@@ -18,6 +18,7 @@
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.Timestamp
 import org.greengagepass.core.WorkKind
+import org.greengagepass.core.connection.InquiryResult
 import org.greengagepass.core.process.Checkpoint
 import org.greengagepass.core.process.ReleaseReason
 import org.greengagepass.core.request.RequestOutcome
@@ -64,7 +65,7 @@
     @Serializable
     @SerialName("inquiryAnswer")
     public data class InquiryAnswer(
-        val states: List<RequestState>,
+        val results: List<InquiryResult>,
     ) : AgentMessage()
 
     /** Something happened to a task. Repeated until the owner has recorded it. */
@@ -103,35 +104,6 @@
     val checkpoint: Checkpoint,
 )
 
-/** What the agent knows of one request. */
-@Serializable
-public sealed class RequestState {
-    /** The request in question. */
-    public abstract val requestId: RequestId
-
-    /** The request is with the upstream or in the agent's queue. */
-    @Serializable
-    @SerialName("running")
-    public data class Running(
-        override val requestId: RequestId,
-    ) : RequestState()
-
-    /** The request has ended. */
-    @Serializable
-    @SerialName("answered")
-    public data class Answered(
-        override val requestId: RequestId,
-        val outcome: RequestOutcome,
-    ) : RequestState()
-
-    /** The agent never received the request and will refuse it if it arrives after this answer. */
-    @Serializable
-    @SerialName("neverReceived")
-    public data class NeverReceived(
-        override val requestId: RequestId,
-    ) : RequestState()
-}
-
 /** What happened to an attempt. */
 @Serializable
 public sealed class TaskChange {
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/EntryMessage.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/EntryMessage.kt
@@ -16,6 +16,7 @@
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.Timestamp
 import org.greengagepass.core.WorkKind
+import org.greengagepass.core.connection.Inquiry
 import org.greengagepass.core.process.Checkpoint
 
 /** A message from an entry to an agent. */
@@ -81,7 +82,7 @@
     @Serializable
     @SerialName("inquire")
     public data class Inquire(
-        val requestIds: List<RequestId>,
+        val inquiries: List<Inquiry>,
     ) : EntryMessage()
 }
 
--- /dev/null
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FrameConnector.kt
@@ -0,0 +1,60 @@
+/*
+ * Opens connections to other processes. A process keeps one connector for its whole life, with one selector thread.
+ */
+package org.greengagepass.protocol.connection
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.withTimeoutOrNull
+import org.greengagepass.core.ResultCode
+import java.io.IOException
+import java.nio.channels.UnresolvedAddressException
+
+private const val PORT_MAXIMUM = 65_535
+
+/** Opens connections whose selector runs on [dispatcher]. */
+public class FrameConnector(
+    dispatcher: CoroutineDispatcher,
+) : AutoCloseable {
+    private val selector = SelectorManager(dispatcher)
+
+    /** A connection to [address], written as `host:port`, or why there is none within [timeoutMillis]. */
+    public suspend fun <O, I> connect(
+        address: String,
+        outgoing: MessageCodec<O>,
+        incoming: MessageCodec<I>,
+        timeoutMillis: Long,
+    ): Either<CodecError, FramedConnection<O, I>> {
+        val target = parseAddress(address) ?: return failure("$address is no host:port").left()
+        return try {
+            withTimeoutOrNull(timeoutMillis) { open(target) }
+                ?.let { FramedConnection(it, outgoing, incoming).right() }
+                ?: failure("not connected to $address within $timeoutMillis ms").left()
+        } catch (cause: IOException) {
+            failure("not connected to $address: ${cause.message}").left()
+        } catch (_: UnresolvedAddressException) {
+            failure("$address can't be resolved").left()
+        }
+    }
+
+    override fun close() {
+        selector.close()
+    }
+
+    private suspend fun open(target: InetSocketAddress): Socket =
+        aSocket(selector).tcp().connect(target) { noDelay = true }
+
+    private fun parseAddress(address: String): InetSocketAddress? {
+        val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..PORT_MAXIMUM }
+        val host = address.substringBeforeLast(':', "")
+        return port?.takeIf { host.isNotEmpty() }?.let { InetSocketAddress(host, it) }
+    }
+
+    private fun failure(detail: String) = CodecError(ResultCode.AGENT_LOST, detail)
+}
