Add the agent: connections, requests, tasks and the worker behind one thread

Cause: a host had no process that admits work, so no path from entry to worker or upstream existed. Ruled out: repeating starts and checkpoints until confirmed, since 'recorded' states ends only and heartbeats carry both anyway; they are sent once to each owner, ends every second until recorded.

--- /dev/null
+++ b/agent/src/main/kotlin/org/greengagepass/agent/AgentCommand.kt
@@ -0,0 +1,67 @@
+/*
+ * The agent's flags. Each can be given as an environment variable too: GREENGAGEPASS_HOST for --host and so on.
+ */
+package org.greengagepass.agent
+
+import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.split
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.long
+import org.greengagepass.agent.process.AgentProcess
+import org.greengagepass.agent.process.AgentSettings
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.HostId
+import org.greengagepass.core.Incarnation
+import org.greengagepass.core.RackName
+import org.greengagepass.core.Resources
+
+private const val EXIT_REPLACED = 3
+private const val DEFAULT_RESERVE_MILLI_CORES = 2_000L
+private const val DEFAULT_RESERVE_MEMORY_MEGABYTES = 2_048L
+private const val DEFAULT_LISTEN = "127.0.0.1:7201"
+
+/** Runs an agent until the process is told to end. */
+internal class AgentCommand : CoreCliktCommand(name = "greengagepass-agent") {
+    private val host by option("--host", help = "name of this host").required()
+    private val failureDomain by option("--failure-domain").required()
+    private val rack by option("--rack").required()
+    private val entries by option("--entries", help = "host:port of entries, separated by commas").split(",").required()
+    private val worker by option("--worker", help = "for example http://127.0.0.1:7100").required()
+    private val listen by option("--listen", help = "host:port for announcements and health").default(DEFAULT_LISTEN)
+    private val reserveMilliCores by option("--reserve-milli-cores").long().default(DEFAULT_RESERVE_MILLI_CORES)
+    private val reserveMemoryMegabytes by option("--reserve-memory-megabytes")
+        .long()
+        .default(DEFAULT_RESERVE_MEMORY_MEGABYTES)
+    private val drainMillis by option("--drain-millis").long().default(AgentSettings.DRAIN_MILLIS)
+    private val logLevel by option("--log-level").choice("debug", "info", "warn", "error", "off").default("info")
+
+    init {
+        context { autoEnvvarPrefix = "GREENGAGEPASS" }
+    }
+
+    override fun run() {
+        System.setProperty("greengagepass.log.level", logLevel)
+        val process = AgentProcess(settings()) { Runtime.getRuntime().halt(EXIT_REPLACED) }
+        Runtime.getRuntime().addShutdownHook(Thread { process.stop() })
+        process.start()
+    }
+
+    private fun settings(): AgentSettings =
+        AgentSettings(
+            host = HostId(host),
+            // A restarted agent must have a higher incarnation, and nothing is kept on hosts to count from.
+            incarnation = Incarnation(System.currentTimeMillis()),
+            failureDomain = FailureDomainName(failureDomain),
+            rack = RackName(rack),
+            entryAddresses = entries,
+            workerAddress = worker,
+            listenHost = listen.substringBeforeLast(':'),
+            listenPort = listen.substringAfterLast(':').toInt(),
+            reserve = Resources(reserveMilliCores, reserveMemoryMegabytes),
+            drainMillis = drainMillis,
+        )
+}
--- a/agent/src/main/kotlin/org/greengagepass/agent/Main.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/Main.kt
@@ -1,9 +1,11 @@
 /*
- * Starts the process.
+ * Starts an agent.
  */
 package org.greengagepass.agent
 
+import com.github.ajalt.clikt.core.main
+
 /** Runs the program with [arguments]. */
 public fun main(arguments: Array<String>) {
-    println(arguments.joinToString())
+    AgentCommand().main(arguments)
 }
--- /dev/null
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/AgentSettings.kt
@@ -0,0 +1,29 @@
+/*
+ * Settings of an agent, as given by flags or environment variables.
+ */
+package org.greengagepass.agent.process
+
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.HostId
+import org.greengagepass.core.Incarnation
+import org.greengagepass.core.RackName
+import org.greengagepass.core.Resources
+
+/** Settings of one agent process. */
+internal data class AgentSettings(
+    val host: HostId,
+    val incarnation: Incarnation,
+    val failureDomain: FailureDomainName,
+    val rack: RackName,
+    val entryAddresses: List<String>,
+    val workerAddress: String,
+    val listenHost: String,
+    val listenPort: Int,
+    val reserve: Resources,
+    val drainMillis: Long = DRAIN_MILLIS,
+) {
+    companion object {
+        /** Time that requests in progress have to finish when the agent stops, in milliseconds. */
+        const val DRAIN_MILLIS: Long = 30_000
+    }
+}
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/AgentMessage.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/AgentMessage.kt
@@ -37,7 +37,10 @@
         val rack: RackName,
     ) : AgentMessage()
 
-    /** State of the host, sent at each heartbeat. */
+    /**
+     * State of the host, sent at each heartbeat. [tasks] holds every attempt that the worker holds, also ended ones
+     * until the owner has recorded their end; it is empty for entries that don't own the host's partition.
+     */
     @Serializable
     @SerialName("heartbeat")
     public data class Heartbeat(
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/EntryMessage.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/EntryMessage.kt
@@ -18,6 +18,8 @@
 import org.greengagepass.core.WorkKind
 import org.greengagepass.core.connection.Inquiry
 import org.greengagepass.core.process.Checkpoint
+import org.greengagepass.core.process.ReleaseReason
+import org.greengagepass.core.version.Priority
 
 /** A message from an entry to an agent. */
 @Serializable
@@ -51,7 +53,10 @@
         val ownerAddress: String?,
     ) : EntryMessage()
 
-    /** What the owner of the host's partition permits, from the heartbeat of the same sequence number. */
+    /**
+     * What the owner of the host's partition permits, from the heartbeat of the same sequence number. [recorded]
+     * lists the attempts whose end is in the log: the agent forgets them and stops repeating their events.
+     */
     @Serializable
     @SerialName("grant")
     public data class Grant(
@@ -76,6 +81,7 @@
         val body: String,
         val deadlineAgentClock: Timestamp,
         val idempotent: Boolean,
+        val priority: Priority = Priority.NORMAL,
     ) : EntryMessage()
 
     /** Asks what became of requests that were dispatched on an earlier connection. */
@@ -108,6 +114,7 @@
     @SerialName("evict")
     public data class Evict(
         override val token: FencingToken,
+        val reason: ReleaseReason = ReleaseReason.EVICTED,
     ) : TaskCommand()
 
     /** Stop the attempt without a checkpoint. */
