--- a/agent/src/main/kotlin/org/greengagepass/agent/process/AgentMetrics.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/AgentMetrics.kt
@@ -3,6 +3,7 @@
  */
 package org.greengagepass.agent.process
 
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Meter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
@@ -38,7 +39,10 @@
         name: String,
         read: () -> Number,
     ) {
-        registry.gauge("greengagepass.agent.$name", read) { it().toDouble() }
+        Gauge
+            .builder("greengagepass.agent.$name", read)
+            .strongReference(true)
+            .register(registry)
     }
 
     /** All meters as text. */
