Add the entry process: callers, operators, agents and peers

Cause: requests and tasks need one process between callers and agents that holds nothing that must last.

Change: Ktor HTTP for callers and operators, framed connections for agents and other entries, one follower and one appender for each stream of the log. All decisions are those of the core and run on one dispatcher that never runs two coroutines at a time. A non-idempotent request goes to the owner of its key's partition, also from another entry.

Ruled out: the caller's request identifier on the wire (two callers may use the same one, and would get each other's answers), so each entry makes its own.

Placement is first fit for now.

--- a/core/src/main/kotlin/org/greengagepass/core/process/Ownership.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Ownership.kt
@@ -22,6 +22,14 @@
     /** How long, after the release that it states, owners before this one may still renew leases. */
     val remainingWaitMillis: Long,
 ) {
+    /** The entry that schedules the partition now; null if nobody does. */
+    public val activeOwner: EntryId?
+        get() = owner.takeUnless { released }
+
+    /** The address under which agents reach [activeOwner]. */
+    public val activeAddress: String?
+        get() = activeOwner?.let { address }
+
     /** True if a record that was written under [recordEpoch] is the current owner's. */
     internal fun permits(recordEpoch: Epoch): Boolean = recordEpoch == epoch && !released
 
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/connection/AgentSession.kt
@@ -0,0 +1,27 @@
+/*
+ * One connection of an agent. It lives from the agent's hello to the end of the connection; the agent's state
+ * outlives it in the process's tables.
+ */
+package org.greengagepass.entry.connection
+
+import org.greengagepass.core.connection.AgentIdentity
+import org.greengagepass.protocol.connection.AgentMessage
+import org.greengagepass.protocol.connection.EntryMessage
+import org.greengagepass.protocol.connection.FramedConnection
+
+/** A connection whose agent has said [hello]. */
+public class AgentSession(
+    public val hello: AgentMessage.Hello,
+    private val connection: FramedConnection<EntryMessage, AgentMessage>,
+) {
+    /** The agent process at the other end. */
+    public val identity: AgentIdentity = AgentIdentity(hello.host, hello.incarnation)
+
+    /** Sends [message]; false if the connection is closed or the agent does not read. */
+    public fun send(message: EntryMessage): Boolean = connection.send(message)
+
+    /** Closes the connection. */
+    public fun close() {
+        connection.close()
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/connection/PeerHub.kt
@@ -0,0 +1,220 @@
+/*
+ * Connections to the other entries. Each entry dials every other one and asks over the connections that it dialled;
+ * it answers over those that it accepted. Confined to the process's decision dispatcher.
+ */
+package org.greengagepass.entry.connection
+
+import arrow.core.Either
+import io.ktor.network.sockets.Socket
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.EntryId
+import org.greengagepass.core.RequestId
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.request.RequestOutcome
+import org.greengagepass.entry.process.MonotonicClock
+import org.greengagepass.protocol.connection.FrameConnector
+import org.greengagepass.protocol.connection.FramedConnection
+import org.greengagepass.protocol.connection.MessageCodec
+import org.greengagepass.protocol.connection.PROTOCOL_VERSION
+import org.greengagepass.protocol.connection.PeerMessage
+
+/** What the process answers to other entries, and what it learns from them. */
+public interface PeerEvents {
+    /** The answer to [query], or null if this entry has no confirmed view of the configuration. */
+    public fun answerHeadQuery(query: PeerMessage.HeadQuery): PeerMessage.HeadAnswer?
+
+    /** A peer answered a query that was sent at [sentAt]. */
+    public fun onHeadAnswer(
+        sentAt: Timestamp,
+        answer: PeerMessage.HeadAnswer,
+    )
+
+    /** Carries out a request that a peer forwarded. */
+    public suspend fun executeForwarded(forward: PeerMessage.Forward): RequestOutcome
+}
+
+/** Dials [addresses] and serves accepted connections. */
+public class PeerHub(
+    private val self: EntryId,
+    private val addresses: List<String>,
+    private val scope: CoroutineScope,
+    private val connector: FrameConnector,
+    private val clock: MonotonicClock,
+    private val events: PeerEvents,
+) {
+    private val codec = MessageCodec(PeerMessage.serializer())
+    private val links = HashMap<EntryId, PeerLink>()
+
+    /** Number of other entries that can be asked now. */
+    public val connected: Int
+        get() = links.size
+
+    /** Keeps connections to all addresses until the process ends. */
+    public fun start() {
+        addresses.forEach { address -> scope.launch { keepConnected(address) } }
+        scope.launch { queryHeads() }
+    }
+
+    /** Forwards a request to [owner] and waits for its outcome until [PeerMessage.Forward.remainingMillis] pass. */
+    public suspend fun forward(
+        owner: EntryId,
+        forward: PeerMessage.Forward,
+    ): RequestOutcome {
+        val outcome = CompletableDeferred<RequestOutcome>()
+        val link = links[owner]
+        val isSent = link != null && link.send(forward, outcome)
+        return if (isSent) {
+            withTimeoutOrNull(forward.remainingMillis) { outcome.await() } ?: FORWARD_UNANSWERED
+        } else {
+            RequestOutcome.NotRun(ResultCode.NOT_OWNER, "the owner of the key's partition is not connected")
+        }
+    }
+
+    /** Serves one accepted connection until it ends. */
+    public suspend fun serve(socket: Socket) {
+        val connection = FramedConnection(socket, codec, codec)
+        connection.start(scope)
+        if (isGreeted(connection)) {
+            connection.send(PeerMessage.PeerHello(PROTOCOL_VERSION, self))
+            receiveUntilEnd(connection) { answer(connection, it) }
+        }
+        connection.close()
+    }
+
+    private suspend fun keepConnected(address: String) {
+        while (true) {
+            when (val connection = connector.connect(address, codec, codec, CONNECT_MILLIS)) {
+                is Either.Left -> logger.debug("peer {} can't be reached: {}", address, connection.value.detail)
+                is Either.Right -> runLink(connection.value)
+            }
+            delay(RECONNECT_DELAY_MILLIS)
+        }
+    }
+
+    private suspend fun runLink(connection: FramedConnection<PeerMessage, PeerMessage>) {
+        connection.start(scope)
+        connection.send(PeerMessage.PeerHello(PROTOCOL_VERSION, self))
+        val hello = withTimeoutOrNull(SILENCE_MILLIS) { connection.receive().getOrNull() } as? PeerMessage.PeerHello
+        if (hello != null && hello.protocolVersion == PROTOCOL_VERSION) {
+            val link = PeerLink(connection)
+            links.put(hello.entry, link)?.close()
+            receiveUntilEnd(connection) { learn(link, it) }
+            links.remove(hello.entry, link)
+            link.close()
+        }
+        connection.close()
+    }
+
+    private suspend fun isGreeted(connection: FramedConnection<PeerMessage, PeerMessage>): Boolean {
+        val hello = withTimeoutOrNull(SILENCE_MILLIS) { connection.receive().getOrNull() } as? PeerMessage.PeerHello
+        return hello?.protocolVersion == PROTOCOL_VERSION
+    }
+
+    private suspend fun receiveUntilEnd(
+        connection: FramedConnection<PeerMessage, PeerMessage>,
+        onMessage: (PeerMessage) -> Unit,
+    ) {
+        var received = withTimeoutOrNull(SILENCE_MILLIS) { connection.receive().getOrNull() }
+        while (received != null) {
+            onMessage(received)
+            received = withTimeoutOrNull(SILENCE_MILLIS) { connection.receive().getOrNull() }
+        }
+    }
+
+    private fun answer(
+        connection: FramedConnection<PeerMessage, PeerMessage>,
+        message: PeerMessage,
+    ) {
+        when (message) {
+            is PeerMessage.HeadQuery ->
+                connection.send(events.answerHeadQuery(message) ?: PeerMessage.NoHead(message.number))
+
+            is PeerMessage.Forward ->
+                scope.launch {
+                    connection.send(PeerMessage.ForwardAnswer(message.requestId, events.executeForwarded(message)))
+                }
+
+            is PeerMessage.PeerHello, is PeerMessage.HeadAnswer, is PeerMessage.NoHead, is PeerMessage.ForwardAnswer,
+            -> Unit
+        }
+    }
+
+    private fun learn(
+        link: PeerLink,
+        message: PeerMessage,
+    ) {
+        when (message) {
+            is PeerMessage.HeadAnswer -> link.takeQuery(message.number)?.let { events.onHeadAnswer(it, message) }
+            is PeerMessage.ForwardAnswer -> link.complete(message.requestId, message.outcome)
+            is PeerMessage.NoHead -> link.takeQuery(message.number)
+            is PeerMessage.PeerHello, is PeerMessage.HeadQuery, is PeerMessage.Forward -> Unit
+        }
+    }
+
+    private suspend fun queryHeads() {
+        while (true) {
+            links.values.forEach { it.query(clock.now()) }
+            delay(QUERY_INTERVAL_MILLIS)
+        }
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger(PeerHub::class.java)
+        private const val CONNECT_MILLIS = 1_000L
+        private const val RECONNECT_DELAY_MILLIS = 500L
+
+        /** A third of the oldest start permission; the queries are also the heartbeats of the connection. */
+        private const val QUERY_INTERVAL_MILLIS = 1_000L
+        private const val SILENCE_MILLIS = 3_000L
+        private val FORWARD_UNANSWERED =
+            RequestOutcome.Unknown(ResultCode.OWNER_LOST, "the owner of the key's partition did not answer in time")
+    }
+}
+
+/** A connection that this entry dialled, with the questions that are open on it. */
+private class PeerLink(
+    private val connection: FramedConnection<PeerMessage, PeerMessage>,
+) {
+    private val queries = HashMap<Long, Timestamp>()
+    private val forwarded = HashMap<RequestId, CompletableDeferred<RequestOutcome>>()
+    private var nextNumber = 0L
+
+    fun query(now: Timestamp) {
+        nextNumber += 1
+        if (connection.send(PeerMessage.HeadQuery(nextNumber))) queries[nextNumber] = now
+    }
+
+    fun takeQuery(number: Long): Timestamp? = queries.remove(number)
+
+    fun send(
+        forward: PeerMessage.Forward,
+        outcome: CompletableDeferred<RequestOutcome>,
+    ): Boolean {
+        forwarded[forward.requestId] = outcome
+        return connection.send(forward)
+    }
+
+    fun complete(
+        requestId: RequestId,
+        outcome: RequestOutcome,
+    ) {
+        forwarded.remove(requestId)?.complete(outcome)
+    }
+
+    fun close() {
+        connection.close()
+        forwarded.values.forEach { it.complete(LINK_LOST) }
+        forwarded.clear()
+    }
+
+    private companion object {
+        private val LINK_LOST =
+            RequestOutcome.Unknown(ResultCode.OWNER_LOST, "the connection to the owner of the key's partition ended")
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryAgentEvents.kt
@@ -0,0 +1,68 @@
+/*
+ * What the entry does with what agents say.
+ */
+package org.greengagepass.entry.process
+
+import org.greengagepass.entry.connection.AgentEvents
+import org.greengagepass.entry.connection.AgentSession
+import org.greengagepass.entry.request.RequestRunner
+import org.greengagepass.entry.version.ConfigurationService
+import org.greengagepass.protocol.connection.AgentMessage
+import org.greengagepass.protocol.connection.EntryMessage
+import org.greengagepass.protocol.connection.PROTOCOL_VERSION
+
+/** Passes the messages of agents on to the parts of the process that they concern. */
+public class EntryAgentEvents(
+    private val settings: EntrySettings,
+    private val configuration: ConfigurationService,
+    private val runner: RequestRunner,
+    private val partitions: Partitions,
+) : AgentEvents {
+    override fun welcome(session: AgentSession): EntryMessage.Welcome =
+        EntryMessage.Welcome(
+            protocolVersion = PROTOCOL_VERSION,
+            entryAddresses = listOf(settings.advertisedAddress),
+            partition = partitions.numberOf(session.hello.host),
+            ownerAddress = partitions.of(session.hello.host).ownership.activeAddress,
+        )
+
+    override fun onConnected(session: AgentSession) {
+        runner.onConnected(session)
+    }
+
+    override fun onMessage(
+        session: AgentSession,
+        message: AgentMessage,
+    ) {
+        when (message) {
+            is AgentMessage.Heartbeat -> onHeartbeat(session, message)
+            is AgentMessage.RequestAnswer -> runner.onAnswer(session, message)
+            is AgentMessage.InquiryAnswer -> runner.onInquiryAnswer(session, message)
+            is AgentMessage.TaskEvent -> partitions.of(session.hello.host).onTaskEvent(session, message)
+            is AgentMessage.Goodbye -> session.close()
+            is AgentMessage.Hello -> Unit
+        }
+    }
+
+    override fun onDisconnected(session: AgentSession) {
+        runner.onDisconnected(session)
+    }
+
+    private fun onHeartbeat(
+        session: AgentSession,
+        heartbeat: AgentMessage.Heartbeat,
+    ) {
+        val partition = partitions.of(session.hello.host)
+        runner.onHeartbeat(session, heartbeat)
+        session.send(
+            EntryMessage.HeartbeatAnswer(
+                sequence = heartbeat.sequence,
+                configurationVersion = configuration.view.version,
+                failureDomainOut = configuration.view.isOut(session.hello.failureDomain),
+                entryAddresses = listOf(settings.advertisedAddress),
+                ownerAddress = partition.ownership.activeAddress,
+            ),
+        )
+        partition.onHeartbeat(session, heartbeat)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -0,0 +1,166 @@
+/*
+ * One entry process: its listeners, its copies of the log's streams, and its end. Every decision runs on one
+ * dispatcher that never runs two coroutines at a time, so that the core needs no locks.
+ */
+package org.greengagepass.entry.process
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asExecutor
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.BatchCodec
+import org.greengagepass.core.PartitionNumber
+import org.greengagepass.core.process.OwnerIdentity
+import org.greengagepass.core.process.OwnerSettings
+import org.greengagepass.core.process.PartitionOwner
+import org.greengagepass.core.version.ConfigurationBatch
+import org.greengagepass.core.version.ConfigurationRecord
+import org.greengagepass.entry.connection.AgentHub
+import org.greengagepass.entry.connection.PeerHub
+import org.greengagepass.entry.request.CallerRoutes
+import org.greengagepass.entry.request.RequestGateway
+import org.greengagepass.entry.request.RequestRunner
+import org.greengagepass.entry.request.ServicePolicies
+import org.greengagepass.entry.request.TaskRoutes
+import org.greengagepass.entry.version.AdministrationRoutes
+import org.greengagepass.entry.version.CONFIGURATION_STREAM
+import org.greengagepass.entry.version.ConfigurationService
+import org.greengagepass.entry.version.ConfigurationSource
+import org.greengagepass.platform.process.HttpLogService
+import org.greengagepass.platform.process.LogService
+import org.greengagepass.platform.process.platformHttpClient
+import org.greengagepass.protocol.connection.FrameConnector
+
+/** Runs an entry with [settings]. */
+public class EntryProcess(
+    private val settings: EntrySettings,
+) {
+    private val clock = MonotonicClock.SYSTEM
+    private val decisions = Dispatchers.Default.limitedParallelism(1)
+    private val scope = CoroutineScope(SupervisorJob() + decisions)
+    private val log: LogService =
+        HttpLogService(platformHttpClient(Dispatchers.IO.asExecutor()), settings.logUrl)
+    private val configurationAppender =
+        StreamAppender<ConfigurationRecord>(
+            log,
+            CONFIGURATION_STREAM,
+            settings.flushWindowMillis,
+        ) { sequence, records ->
+            BatchCodec.CONFIGURATION.encode(ConfigurationBatch(settings.entryId.value, sequence, records))
+        }
+    private val policies = ServicePolicies(settings.entryId, settings.failureDomain)
+    private val runner = RequestRunner(policies, clock) { hub[it] }
+    private val configuration =
+        ConfigurationService(configurationAppender) { policies.failureDomainsOut = it.failureDomainsOut }
+    private val partitions = Partitions((0 until settings.partitions).map(::partition))
+    private val hub: AgentHub = AgentHub(scope, EntryAgentEvents(settings, configuration, runner, partitions))
+    private val peers: PeerHub =
+        PeerHub(
+            self = settings.entryId,
+            addresses = settings.peers,
+            scope = scope,
+            connector = FrameConnector(Dispatchers.IO),
+            clock = clock,
+            events = EntryPeerEvents(configuration, clock) { gateway.executeForwarded(it) },
+        )
+    private val gateway: RequestGateway = RequestGateway(runner, partitions, peers, clock)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val agentListener = TcpListener(selector, settings.agentHost, settings.agentPort, hub::serve)
+    private val peerListener = TcpListener(selector, settings.agentHost, settings.peerPort, peers::serve)
+    private val http =
+        HttpServer(settings.httpHost, settings.httpPort, settings.token) {
+            AdministrationRoutes(configuration, decisions).install(this)
+            CallerRoutes(configuration, { gateway.execute(it) }, decisions, clock).install(this)
+            TaskRoutes(configuration, partitions, decisions, clock).install(this)
+        }
+    private val stopped = CompletableDeferred<Unit>()
+
+    /** Serves until the process receives SIGTERM, then stops gracefully. */
+    public suspend fun runUntilStopped() {
+        Runtime.getRuntime().addShutdownHook(Thread { runBlocking { stop() } })
+        withContext(decisions) { start() }
+        stopped.await()
+    }
+
+    private suspend fun start() {
+        scope.launch { configurationAppender.run() }
+        scope.launch { followConfiguration() }
+        partitions.all.forEach { scope.launch { it.follow() } }
+        scope.launch { tickUntilStopped() }
+        agentListener.start(scope)
+        peerListener.start(scope)
+        peers.start()
+        val httpPort = http.start()
+        logger.info(
+            "entry {} serves callers on port {} and agents on port {}",
+            settings.entryId.value,
+            httpPort,
+            agentListener.boundPort,
+        )
+    }
+
+    private suspend fun followConfiguration() {
+        StreamFollower(
+            log = log,
+            stream = CONFIGURATION_STREAM,
+            clock = clock,
+            onFailure = { configuration.onReadFailed() },
+            onPage = configuration::onPage,
+        ).run()
+    }
+
+    private suspend fun tickUntilStopped() {
+        while (true) {
+            runner.tick()
+            partitions.all.forEach { it.tick() }
+            delay(TICK_MILLIS)
+        }
+    }
+
+    /** Finishes requests in progress, releases the partitions, and ends the connections. */
+    private suspend fun stop() {
+        logger.info("entry {} stops", settings.entryId.value)
+        http.stop(settings.shutdownMillis)
+        withTimeoutOrNull(RELEASE_MILLIS) {
+            withContext(decisions) { partitions.all.forEach { it.release() } }
+        }
+        agentListener.close()
+        peerListener.close()
+        scope.cancel()
+        stopped.complete(Unit)
+    }
+
+    private fun partition(number: Int): PartitionService =
+        PartitionService(
+            number = PartitionNumber(number),
+            owner =
+                PartitionOwner(
+                    identity = OwnerIdentity(settings.entryId, settings.advertisedAddress),
+                    settings =
+                        OwnerSettings(
+                            flushWindowMillis = settings.flushWindowMillis,
+                            shutdownMillis = settings.shutdownMillis,
+                        ),
+                    placement = FirstFitPlacement,
+                    configuration = ConfigurationSource(configuration),
+                ),
+            surroundings = PartitionSurroundings(scope, log, clock, System::currentTimeMillis, { hub[it] }, runner),
+        )
+
+    private companion object {
+        private val logger = LogManager.getLogger(EntryProcess::class.java)
+        private const val TICK_MILLIS = 10L
+
+        /** Time for the release of the partitions to be read back; without it the next owner has to wait. */
+        private const val RELEASE_MILLIS = 5_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/RequestGateway.kt
@@ -0,0 +1,100 @@
+/*
+ * The way of a request by its service class: idempotent requests go straight to an agent; a non-idempotent one goes
+ * through the owner of its key's partition, here or at another entry.
+ */
+package org.greengagepass.entry.request
+
+import org.greengagepass.core.RequestId
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.process.RequestKey
+import org.greengagepass.core.request.RequestOutcome
+import org.greengagepass.core.version.ServiceClass
+import org.greengagepass.entry.connection.PeerHub
+import org.greengagepass.entry.process.MonotonicClock
+import org.greengagepass.entry.process.Partitions
+import org.greengagepass.protocol.connection.PeerMessage
+import java.security.MessageDigest
+import java.util.HexFormat
+import java.util.UUID
+
+/** Sends requests on their way. Confined to the process's decision dispatcher. */
+public class RequestGateway(
+    private val runner: RequestRunner,
+    private val partitions: Partitions,
+    private val peers: PeerHub,
+    private val clock: MonotonicClock,
+) : RequestService {
+    override suspend fun execute(request: CallerRequest): RequestOutcome =
+        when (request.profile.serviceClass) {
+            ServiceClass.QUICK -> runner.execute(request)
+
+            ServiceClass.AT_MOST_ONCE -> executeAtMostOnce(request)
+
+            ServiceClass.BATCH, ServiceClass.STANDING ->
+                RequestOutcome.NotRun(ResultCode.INVALID_VALUE, "profile ${request.profile.name.value} is for tasks")
+        }
+
+    /** Carries out a request that another entry forwarded; it is not forwarded again. */
+    public suspend fun executeForwarded(forward: PeerMessage.Forward): RequestOutcome {
+        val request = forward.toRequest(clock.now().plusMillis(forward.remainingMillis))
+        return executeOwned(request, RequestKey(forward.team, forward.idempotencyKey))
+    }
+
+    private suspend fun executeAtMostOnce(request: CallerRequest): RequestOutcome {
+        val idempotencyKey = request.idempotencyKey ?: return MISSING_KEY
+        val key = RequestKey(request.team, idempotencyKey)
+        val partition = partitions.of(key)
+        val owner = partition.ownership.activeOwner
+        return if (partition.isOwned || owner == null) {
+            executeOwned(request, key)
+        } else {
+            peers.forward(owner, request.toForward(key))
+        }
+    }
+
+    private suspend fun executeOwned(
+        request: CallerRequest,
+        key: RequestKey,
+    ): RequestOutcome = partitions.of(key).execute(request, key, digestOf(request))
+
+    private fun digestOf(request: CallerRequest): String {
+        val content = listOf(request.service.value, request.operation.value, request.body).joinToString("\u0000")
+        return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content.encodeToByteArray()))
+    }
+
+    private fun CallerRequest.toForward(key: RequestKey): PeerMessage.Forward =
+        PeerMessage.Forward(
+            requestId = RequestId(UUID.randomUUID().toString()),
+            partition = partitions.numberOf(key),
+            traceparent = traceparent,
+            team = team,
+            idempotencyKey = key.idempotencyKey,
+            service = service,
+            operation = operation,
+            body = body,
+            profile = profile,
+            remainingMillis = deadline.millisSince(clock.now()),
+        )
+
+    private companion object {
+        private val MISSING_KEY =
+            RequestOutcome.NotRun(
+                ResultCode.INVALID_VALUE,
+                "this profile is for non-idempotent requests; send a header Idempotency-Key",
+            )
+    }
+}
+
+private fun PeerMessage.Forward.toRequest(deadline: Timestamp): CallerRequest =
+    CallerRequest(
+        requestId = requestId,
+        idempotencyKey = idempotencyKey,
+        traceparent = traceparent,
+        team = team,
+        service = service,
+        operation = operation,
+        profile = profile,
+        body = body,
+        deadline = deadline,
+    )
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/RequestTranslation.kt
@@ -0,0 +1,34 @@
+/*
+ * A caller's request as the core and as agents see it.
+ */
+package org.greengagepass.entry.request
+
+import org.greengagepass.core.RequestId
+import org.greengagepass.core.request.EntryAction
+import org.greengagepass.core.request.RequestDescription
+import org.greengagepass.core.version.ServiceClass
+import org.greengagepass.protocol.connection.EntryMessage
+
+/** What the core has to know of this request, under the identifier of this entry. */
+internal fun CallerRequest.describe(requestId: RequestId): RequestDescription =
+    RequestDescription(
+        requestId = requestId,
+        service = service,
+        idempotent = profile.serviceClass == ServiceClass.QUICK,
+        deadline = deadline,
+        priority = profile.priority,
+        retryLimit = profile.retryLimit,
+    )
+
+/** This request as a message for the agent that [action] names. */
+internal fun CallerRequest.toDispatch(action: EntryAction.Dispatch): EntryMessage.Dispatch =
+    EntryMessage.Dispatch(
+        requestId = action.attempt.wireId,
+        traceparent = traceparent,
+        service = service,
+        operation = operation,
+        body = body,
+        deadlineAgentClock = action.deadlineAgentClock,
+        idempotent = action.request.idempotent,
+        priority = action.request.priority,
+    )
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/Responses.kt
@@ -0,0 +1,27 @@
+/*
+ * Answers of the HTTP interface.
+ */
+package org.greengagepass.entry.request
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.respondText
+import kotlinx.serialization.KSerializer
+
+/** Answers [value] as JSON. */
+public suspend fun <T> ApplicationCall.respondJson(
+    serializer: KSerializer<T>,
+    value: T,
+    status: HttpStatusCode = HttpStatusCode.OK,
+) {
+    respondText(apiJson.encodeToString(serializer, value), ContentType.Application.Json, status)
+}
+
+/** Answers [error] with its HTTP status. */
+public suspend fun ApplicationCall.respondError(
+    error: ApiError,
+    requestId: String? = null,
+) {
+    respondJson(ApiResult.serializer(), error.toResult(requestId), error.code.httpStatus())
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/ServicePolicies.kt
@@ -0,0 +1,65 @@
+/*
+ * What the entry knows of the upstreams of each service, and how it treats requests for them.
+ */
+package org.greengagepass.entry.request
+
+import org.greengagepass.core.EntryId
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.HostId
+import org.greengagepass.core.ServiceName
+import org.greengagepass.core.connection.AgentIdentity
+import org.greengagepass.core.request.LoadShedder
+import org.greengagepass.core.request.RequestPolicy
+import org.greengagepass.core.request.RetryBudget
+import org.greengagepass.core.request.Router
+import org.greengagepass.core.request.UpstreamReport
+import org.greengagepass.protocol.connection.AgentMessage
+
+/** Policies of the entry [entryId] in [failureDomain], one for each service that agents have reported. */
+public class ServicePolicies(
+    private val entryId: EntryId,
+    private val failureDomain: FailureDomainName,
+) {
+    private val policies = HashMap<ServiceName, RequestPolicy>()
+
+    /** Names of the failure domains that are out of service; no request is routed there. */
+    public var failureDomainsOut: Set<FailureDomainName> = emptySet()
+        set(names) {
+            field = names
+            policies.values.forEach { it.router.failureDomainsOut = names }
+        }
+
+    /** The policy of [service]. */
+    public fun of(service: ServiceName): RequestPolicy =
+        policies.getOrPut(service) {
+            val router = Router(entryId, failureDomain)
+            router.failureDomainsOut = failureDomainsOut
+            RequestPolicy(router, RetryBudget(), LoadShedder())
+        }
+
+    /** The agent [agent] in [agentDomain] reported its upstreams with [heartbeat]. */
+    public fun reported(
+        agentDomain: FailureDomainName,
+        agent: AgentIdentity,
+        heartbeat: AgentMessage.Heartbeat,
+    ) {
+        val reported = heartbeat.services.map { it.service }.toSet()
+        policies.filterKeys { it !in reported }.values.forEach { it.router.gone(agent.host) }
+        heartbeat.services.forEach { state ->
+            of(state.service).router.reported(
+                UpstreamReport(
+                    agent = agent,
+                    failureDomain = agentDomain,
+                    freeSlots = state.freeSlots,
+                    queueLength = state.queueLength,
+                    leaving = state.leaving || heartbeat.draining,
+                ),
+            )
+        }
+    }
+
+    /** The agent of [host] is not connected any more. */
+    public fun gone(host: HostId) {
+        policies.values.forEach { it.router.gone(host) }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/AdministrationRoutes.kt
@@ -0,0 +1,193 @@
+/*
+ * HTTP calls by which operators publish profiles and quotas and take failure domains out and back. Writes carry an
+ * idempotency key and the version that the operator has seen.
+ */
+package org.greengagepass.entry.version
+
+import arrow.core.Either
+import arrow.core.EitherNel
+import arrow.core.flatMap
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.withContext
+import kotlinx.serialization.KSerializer
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.FencingToken
+import org.greengagepass.core.ProfileName
+import org.greengagepass.core.Resources
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.TeamName
+import org.greengagepass.core.version.ConfigurationRecord
+import org.greengagepass.core.version.ConfigurationValidation
+import org.greengagepass.core.version.ConfigurationView
+import org.greengagepass.core.version.FailureDomainStatus
+import org.greengagepass.core.version.Profile
+import org.greengagepass.core.version.PublishedProfile
+import org.greengagepass.core.version.PublishedQuota
+import org.greengagepass.core.version.Quota
+import org.greengagepass.core.version.ValidationFault
+import org.greengagepass.entry.request.ApiError
+import org.greengagepass.entry.request.receiveJson
+import org.greengagepass.entry.request.respondError
+import org.greengagepass.entry.request.respondJson
+import java.util.UUID
+
+/** Routes of the administration interface on [configuration], which runs on [decisions]. */
+public class AdministrationRoutes(
+    private val configuration: ConfigurationService,
+    private val decisions: CoroutineDispatcher,
+    private val epochMillis: () -> Long = System::currentTimeMillis,
+) {
+    /** Adds the routes to [route]. */
+    public fun install(route: Route) {
+        route.get(
+            "/v1/profiles",
+        ) { call.respondList(PublishedProfile.serializer(), configuration.view.profilesByName()) }
+        route.get("/v1/profiles/{name}") { call.respondProfile() }
+        route.put("/v1/profiles/{name}") { call.publishProfile() }
+        route.get("/v1/failure-domains") {
+            call.respondList(FailureDomainStatus.serializer(), configuration.view.statusByName())
+        }
+        route.post("/v1/failure-domains/{name}/out") { call.changeFailureDomain(isOut = true) }
+        route.post("/v1/failure-domains/{name}/in") { call.changeFailureDomain(isOut = false) }
+        route.get("/v1/quotas") { call.respondList(PublishedQuota.serializer(), configuration.view.quotasByTeam()) }
+        route.put("/v1/quotas/{name}") { call.setQuota() }
+    }
+
+    private suspend fun ApplicationCall.respondProfile() {
+        val profile = configuration.view.profilesByName()[name()]
+        if (profile == null) {
+            respondError(ApiError(ResultCode.NOT_FOUND, "there is no profile ${name()}"))
+        } else {
+            respondJson(PublishedProfile.serializer(), profile)
+        }
+    }
+
+    private suspend fun ApplicationCall.publishProfile() =
+        publish(ProfileBody.serializer()) { body ->
+            ConfigurationValidation.validate(body.toProfile(ProfileName(name()))).toApi().map { profile ->
+                ConfigurationRecord.ProfilePublished(
+                    profile = profile,
+                    expectedVersion = FencingToken(body.expectedVersion),
+                    operator = operator(),
+                    idempotencyKey = idempotencyKey(),
+                )
+            }
+        }
+
+    private suspend fun ApplicationCall.setQuota() =
+        publish(QuotaBody.serializer()) { body ->
+            ConfigurationValidation
+                .validateName(field = "team", name = name())
+                .flatMap { ConfigurationValidation.validate(body.toQuota()) }
+                .toApi()
+                .map { quota ->
+                    ConfigurationRecord.QuotaSet(
+                        team = TeamName(name()),
+                        quota = quota,
+                        expectedVersion = FencingToken(body.expectedVersion),
+                        operator = operator(),
+                        idempotencyKey = idempotencyKey(),
+                    )
+                }
+        }
+
+    private suspend fun ApplicationCall.changeFailureDomain(isOut: Boolean) =
+        publish(FailureDomainBody.serializer()) { body ->
+            ConfigurationValidation
+                .validateName(field = "failureDomain", name = name())
+                .toApi()
+                .map { if (isOut) failureDomainOut(body) else failureDomainIn(body) }
+        }
+
+    private fun ApplicationCall.failureDomainOut(body: FailureDomainBody): ConfigurationRecord =
+        ConfigurationRecord.FailureDomainOut(
+            failureDomain = FailureDomainName(name()),
+            reason = body.reason,
+            expectedVersion = body.expectedVersion?.let(::FencingToken),
+            operator = operator(),
+            idempotencyKey = idempotencyKey(),
+            recordedAtEpochMillis = epochMillis(),
+        )
+
+    private fun ApplicationCall.failureDomainIn(body: FailureDomainBody): ConfigurationRecord =
+        ConfigurationRecord.FailureDomainIn(
+            failureDomain = FailureDomainName(name()),
+            reason = body.reason,
+            expectedVersion = body.expectedVersion?.let(::FencingToken),
+            operator = operator(),
+            idempotencyKey = idempotencyKey(),
+            recordedAtEpochMillis = epochMillis(),
+        )
+
+    private suspend fun <T> ApplicationCall.publish(
+        serializer: KSerializer<T>,
+        toRecord: (T) -> Either<ApiError, ConfigurationRecord>,
+    ) {
+        val record = receiveJson(serializer).flatMap(toRecord)
+        val result = record.flatMap { withContext(decisions) { configuration.publish(it) } }
+        when (result) {
+            is Either.Left -> respondError(result.value)
+            is Either.Right -> respondJson(VersionResult.serializer(), VersionResult(result.value.value))
+        }
+    }
+
+    private suspend fun <T> ApplicationCall.respondList(
+        serializer: KSerializer<T>,
+        items: Map<String, T>,
+    ) {
+        val after = request.queryParameters["after"].orEmpty()
+        val limit = request.queryParameters["limit"]?.toIntOrNull() ?: PAGE_LENGTH_MAXIMUM
+        val names = items.keys.filter { it > after }.sorted()
+        val page = names.take(limit.coerceIn(1, PAGE_LENGTH_MAXIMUM))
+        val next = page.lastOrNull()?.takeIf { page.size < names.size }
+        respondJson(ListPage.serializer(serializer), ListPage(page.map { items.getValue(it) }, next))
+    }
+
+    private companion object {
+        private const val PAGE_LENGTH_MAXIMUM = 500
+    }
+}
+
+private fun ApplicationCall.name(): String = parameters["name"].orEmpty()
+
+private fun ApplicationCall.operator(): String = request.headers["Operator"] ?: "unnamed"
+
+private fun ApplicationCall.idempotencyKey(): String =
+    request.headers["Idempotency-Key"] ?: UUID.randomUUID().toString()
+
+private fun <T> EitherNel<ValidationFault, T>.toApi(): Either<ApiError, T> =
+    mapLeft { faults ->
+        ApiError(
+            ResultCode.INVALID_VALUE,
+            faults.joinToString("; ") { "${it.field}: ${it.detail}" },
+        )
+    }
+
+private fun ProfileBody.toProfile(name: ProfileName): Profile =
+    Profile(
+        name = name,
+        serviceClass = serviceClass,
+        priority = priority,
+        latencyObjectiveMillis = latencyObjectiveMillis,
+        evictable = evictable,
+        throttleable = throttleable,
+        retryLimit = retryLimit,
+        deadlineMillis = deadlineMillis,
+    )
+
+private fun QuotaBody.toQuota(): Quota =
+    Quota(
+        running = Resources(milliCores, memoryMegabytes, accelerators),
+        requestsPerSecond = requestsPerSecond,
+    )
+
+private fun ConfigurationView.profilesByName(): Map<String, PublishedProfile> = profiles.mapKeys { it.key.value }
+
+private fun ConfigurationView.quotasByTeam(): Map<String, PublishedQuota> = quotas.mapKeys { it.key.value }
+
+private fun ConfigurationView.statusByName(): Map<String, FailureDomainStatus> = failureDomains.mapKeys { it.key.value }
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationSource.kt
@@ -0,0 +1,18 @@
+/*
+ * The configuration as the owner of a partition asks for it.
+ */
+package org.greengagepass.entry.version
+
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.process.ConfigurationView
+
+/** Answers from [configuration]. */
+public class ConfigurationSource(
+    private val configuration: ConfigurationService,
+) : ConfigurationView {
+    override fun ageMillis(now: Timestamp): Long? =
+        configuration.freshness.confirmedAsOf?.let { maxOf(0, now.millisSince(it)) }
+
+    override fun isOut(failureDomain: FailureDomainName): Boolean = configuration.view.isOut(failureDomain)
+}
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/PeerMessage.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/PeerMessage.kt
@@ -13,6 +13,7 @@
 import org.greengagepass.core.TeamName
 import org.greengagepass.core.WorkKind
 import org.greengagepass.core.request.RequestOutcome
+import org.greengagepass.core.version.Profile
 
 /** A message between two entries. */
 @Serializable
@@ -41,6 +42,13 @@
         val ageMillis: Long,
     ) : PeerMessage()
 
+    /** The asked entry has no confirmed view of the configuration stream. */
+    @Serializable
+    @SerialName("noHead")
+    public data class NoHead(
+        val number: Long,
+    ) : PeerMessage()
+
     /** A non-idempotent request for the owner of the partition of its key. */
     @Serializable
     @SerialName("forward")
@@ -53,6 +61,7 @@
         val service: ServiceName,
         val operation: WorkKind,
         val body: String,
+        val profile: Profile,
         val remainingMillis: Long,
     ) : PeerMessage()
 
