--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/WaitReason.kt
@@ -0,0 +1,69 @@
+/*
+ * Why a task waits, in a form that operators can read.
+ */
+package org.greengagepass.core.process
+
+import org.greengagepass.core.HostId
+import org.greengagepass.core.Resources
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.TeamName
+
+/** Why the last round did not place a task. */
+public sealed class WaitReason {
+    /** The code that goes with the reason. */
+    public abstract val code: ResultCode
+
+    /** The reason in one sentence. */
+    public abstract val text: String
+
+    /** Other tasks came first, by priority or by the shares of their teams. */
+    public data object BehindOthers : WaitReason() {
+        override val code: ResultCode = ResultCode.OVERLOADED
+        override val text: String = "tasks of higher priority or of teams with a lower share come first"
+    }
+
+    /** No host may receive tasks. */
+    public data object NoHosts : WaitReason() {
+        override val code: ResultCode = ResultCode.HOST_FULL
+        override val text: String = "no host is in service"
+    }
+
+    /** The team would run more than its quota. */
+    public data class OverQuota(
+        val team: TeamName,
+        val limit: Resources,
+    ) : WaitReason() {
+        override val code: ResultCode = ResultCode.QUOTA_EXHAUSTED
+        override val text: String
+            get() = "team ${team.value} has no room for $limit in its quota"
+    }
+
+    /** No host has the room that the task needs. */
+    public data class NoRoom(
+        val need: Resources,
+    ) : WaitReason() {
+        override val code: ResultCode = ResultCode.HOST_FULL
+        override val text: String
+            get() = "no host has $need free"
+    }
+
+    /** Room on [host] is kept for the task until other tasks there have been evicted or have ended. */
+    public data class RoomReserved(
+        val host: HostId,
+        val evictions: Int,
+    ) : WaitReason() {
+        override val code: ResultCode = ResultCode.HOST_FULL
+        override val text: String
+            get() = "host ${host.value} is being cleared, with $evictions evictions"
+    }
+
+    /** The task needs more than any host holds and can't run on this fleet. */
+    public data class ExceedsEveryHost(
+        val need: Resources,
+        val largestHost: Resources,
+    ) : WaitReason() {
+        override val code: ResultCode = ResultCode.TASK_CANNOT_RUN
+        override val text: String
+            get() = "the task needs $need, the largest host holds $largestHost"
+    }
+}
