--- /dev/null
+++ b/benchmark/src/main/kotlin/org/greengagepass/benchmark/DecisionCost.kt
@@ -0,0 +1,157 @@
+/*
+ * Cost of placement decisions by number of workers: rounds of 1,000 waiting tasks on hosts that are about half full.
+ */
+package org.greengagepass.benchmark
+
+import com.sun.management.ThreadMXBean
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.FencingToken
+import org.greengagepass.core.HostId
+import org.greengagepass.core.ProfileName
+import org.greengagepass.core.RackName
+import org.greengagepass.core.Resources
+import org.greengagepass.core.TaskId
+import org.greengagepass.core.TeamName
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.WorkKind
+import org.greengagepass.core.process.HostView
+import org.greengagepass.core.process.PlacementKnowledge
+import org.greengagepass.core.process.PlacementRound
+import org.greengagepass.core.process.Task
+import org.greengagepass.core.process.TaskPlacement
+import org.greengagepass.core.process.TaskSpecification
+import java.lang.management.ManagementFactory
+import java.util.Locale
+import kotlin.random.Random
+
+/** Cost at one number of workers. */
+public data class CostFigure(
+    val workers: Int,
+    val decisionsPerSecond: Double,
+    val roundSetupMicros: Double,
+    val bytesPerDecision: Double,
+    val indexVisitsPerDecision: Double,
+) {
+    /** The figure as a row of a Markdown table. */
+    val text: String
+        get() =
+            String.format(
+                Locale.ROOT,
+                "| %d | %.0f | %.0f | %.0f | %.1f |",
+                workers,
+                decisionsPerSecond,
+                roundSetupMicros,
+                bytesPerDecision,
+                indexVisitsPerDecision,
+            )
+}
+
+/** Measures rounds of placement. */
+public class DecisionCost(
+    private val seed: Long,
+) {
+    /** Figures at 100, 1,000 and 20,000 workers. A round without tasks gives the part that all decisions share. */
+    public fun measure(): List<CostFigure> {
+        WORKERS.forEach { figure(it, WARM_UP_ROUNDS) }
+        return WORKERS.map { figure(it, ROUNDS) }
+    }
+
+    private fun figure(
+        workers: Int,
+        rounds: Int,
+    ): CostFigure {
+        val placement =
+            Policy.GREENGAGEPASS.placement(KnownDeployment.SFAX.deployment, PlacementKnowledge(), seed) as TaskPlacement
+        val hosts = hosts(workers)
+        val empty = List(rounds) { measured(placement, hosts, emptyList()) }.drop(rounds / 2)
+        val visitsBefore = placement.indexVisits
+        val full = List(rounds) { round -> measured(placement, hosts, tasks(round)) }
+        val visits = placement.indexVisits - visitsBefore
+        val later = full.drop(rounds / 2)
+        val setup = empty.sumOf { it.nanos } / empty.size
+        val setupBytes = empty.sumOf { it.bytes } / empty.size
+        val decisions = later.sumOf { it.decisions }.coerceAtLeast(1)
+        val nanos = later.sumOf { it.nanos - setup }
+        return CostFigure(
+            workers = workers,
+            decisionsPerSecond = decisions * NANOS_PER_SECOND / nanos,
+            roundSetupMicros = setup / NANOS_PER_MICRO,
+            bytesPerDecision = later.sumOf { it.bytes - setupBytes }.toDouble() / decisions,
+            indexVisitsPerDecision = visits.toDouble() / full.sumOf { it.decisions }.coerceAtLeast(1),
+        )
+    }
+
+    private class Cost(
+        val decisions: Int,
+        val nanos: Long,
+        val bytes: Long,
+    )
+
+    private fun measured(
+        placement: TaskPlacement,
+        hosts: List<HostView>,
+        tasks: List<Task>,
+    ): Cost {
+        val threads = ManagementFactory.getThreadMXBean() as ThreadMXBean
+        val round = PlacementRound(tasks.asSequence(), hosts, Timestamp(0), TASKS_PER_ROUND)
+        val bytes = threads.currentThreadAllocatedBytes
+        val start = System.nanoTime()
+        val placements = placement.place(round)
+        val nanos = System.nanoTime() - start
+        val allocated = threads.currentThreadAllocatedBytes - bytes
+        placements.forEach { placement.ended(it.taskId) }
+        return Cost(placements.size, nanos, allocated)
+    }
+
+    private fun hosts(workers: Int): List<HostView> {
+        val random = Random(seed)
+        val size = KnownDeployment.SFAX.deployment.host
+        return List(workers) {
+            val free =
+                Resources(
+                    milliCores = random.nextLong(size.milliCores),
+                    memoryMegabytes = random.nextLong(size.memoryMegabytes),
+                )
+            HostView(
+                host = HostId("host-$it"),
+                failureDomain = FailureDomainName("domain-${it % DOMAINS}"),
+                rack = RackName("rack-${it / (DOMAINS * Deployment.HOSTS_PER_RACK)}"),
+                capacity = size,
+                free = free,
+                tasks = emptyList(),
+            )
+        }
+    }
+
+    private fun tasks(round: Int): List<Task> {
+        val random = Random(seed + round)
+        return List(TASKS_PER_ROUND) {
+            val declared =
+                Resources(milliCores = random.nextLong(MILLI_CORES), memoryMegabytes = random.nextLong(MEGABYTES))
+            val specification =
+                TaskSpecification(
+                    TaskId("task-$round-$it"),
+                    TeamName("team-${random.nextInt(TEAMS)}"),
+                    ProfileName(SimulatedTask.BATCH_PROFILE),
+                    WorkKind("kind-${random.nextInt(KINDS)}"),
+                    declared,
+                )
+            Task(specification, FencingToken(it.toLong()), submittedAtEpochMillis = 0)
+        }
+    }
+}
+
+private const val FEW_WORKERS = 100
+private const val SOME_WORKERS = 1_000
+private const val TARGET_WORKERS = 20_000
+private val WORKERS = listOf(FEW_WORKERS, SOME_WORKERS, TARGET_WORKERS)
+private const val MILLI_CORES = 1_000L
+private const val MEGABYTES = 4_000L
+private const val WARM_UP_ROUNDS = 100
+private const val ROUNDS = 200
+private const val TASKS_PER_ROUND = 1_000
+private const val DOMAINS = 19
+private const val TEAMS = 1_200
+private const val KINDS = 50
+private const val NANOS_PER_SECOND = 1e9
+private const val NANOS_PER_MICRO = 1e3
--- a/benchmark/src/main/kotlin/org/greengagepass/benchmark/Main.kt
+++ b/benchmark/src/main/kotlin/org/greengagepass/benchmark/Main.kt
@@ -1,9 +1,11 @@
 /*
- * Starts the process.
+ * Starts the benchmark.
  */
 package org.greengagepass.benchmark
 
-/** Runs the program with [arguments]. */
+import com.github.ajalt.clikt.core.main
+
+/** Runs the benchmark with [arguments]. */
 public fun main(arguments: Array<String>) {
-    println(arguments.joinToString())
+    BenchmarkCommand().main(arguments)
 }
