--- a/core/src/main/kotlin/org/greengagepass/core/BatchCodec.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/BatchCodec.kt
@@ -10,8 +10,10 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.cbor.Cbor
+import org.greengagepass.core.process.SnapshotChunk
 import org.greengagepass.core.process.TaskBatch
 import org.greengagepass.core.version.ConfigurationBatch
+import org.greengagepass.core.version.ConfigurationSnapshot
 
 /** Why a log record holds no batch. */
 public data class BatchError(
@@ -60,5 +62,13 @@
 
         /** Codec of the streams `tasks-<partition>`. */
         public val TASKS: BatchCodec<TaskBatch> = BatchCodec(TaskBatch.serializer()) { it.records.size }
+
+        /** Codec of the streams `tasks-<partition>-snapshots`. */
+        public val TASK_SNAPSHOTS: BatchCodec<SnapshotChunk> =
+            BatchCodec(SnapshotChunk.serializer()) { it.records.size }
+
+        /** Codec of the stream `configuration-snapshots`. */
+        public val CONFIGURATION_SNAPSHOTS: BatchCodec<ConfigurationSnapshot> =
+            BatchCodec(ConfigurationSnapshot.serializer()) { 1 }
     }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -21,7 +21,7 @@
 import org.greengagepass.core.PartitionNumber
 import org.greengagepass.core.process.OwnerIdentity
 import org.greengagepass.core.process.OwnerSettings
-import org.greengagepass.core.process.PartitionOwner
+import org.greengagepass.core.process.RetentionSettings
 import org.greengagepass.core.version.ConfigurationBatch
 import org.greengagepass.core.version.ConfigurationRecord
 import org.greengagepass.entry.connection.AgentHub
@@ -34,6 +34,7 @@
 import org.greengagepass.entry.version.AdministrationRoutes
 import org.greengagepass.entry.version.CONFIGURATION_STREAM
 import org.greengagepass.entry.version.ConfigurationService
+import org.greengagepass.entry.version.ConfigurationSnapshots
 import org.greengagepass.entry.version.ConfigurationSource
 import org.greengagepass.platform.process.HttpLogService
 import org.greengagepass.platform.process.LogService
@@ -61,6 +62,7 @@
     private val runner = RequestRunner(policies, clock) { hub[it] }
     private val configuration =
         ConfigurationService(configurationAppender) { policies.failureDomainsOut = it.failureDomainsOut }
+    private val configurationSnapshots = ConfigurationSnapshots(log, settings.logRetentionMillis)
     private val partitions = Partitions((0 until settings.partitions).map(::partition))
     private val hub: AgentHub = AgentHub(scope, EntryAgentEvents(settings, configuration, runner, partitions))
     private val peers: PeerHub =
@@ -109,10 +111,14 @@
     }
 
     private suspend fun followConfiguration() {
+        while (configurationSnapshots.restore(configuration.folded).isLeft()) {
+            delay(RESTORE_DELAY_MILLIS)
+        }
         StreamFollower(
             log = log,
             stream = CONFIGURATION_STREAM,
             clock = clock,
+            fromOffset = configuration.folded.nextOffset,
             onFailure = { configuration.onReadFailed() },
             onPage = configuration::onPage,
         ).run()
@@ -122,10 +128,17 @@
         while (true) {
             runner.tick()
             partitions.all.forEach { it.tick() }
+            if (partitions.all.first().isOwned) writeConfigurationSnapshotIfDue()
             delay(TICK_MILLIS)
         }
     }
 
+    private fun writeConfigurationSnapshotIfDue() {
+        configurationSnapshots.dueSnapshot(configuration.folded, clock.now())?.let { snapshot ->
+            scope.launch { configurationSnapshots.write(snapshot) }
+        }
+    }
+
     /** Finishes requests in progress, releases the partitions, and ends the connections. */
     private suspend fun stop() {
         logger.info("entry {} stops", settings.entryId.value)
@@ -142,23 +155,32 @@
     private fun partition(number: Int): PartitionService =
         PartitionService(
             number = PartitionNumber(number),
-            owner =
-                PartitionOwner(
+            surroundings =
+                PartitionSurroundings(
+                    scope = scope,
+                    log = log,
+                    clock = clock,
+                    epochMillis = System::currentTimeMillis,
+                    sessionOf = { hub[it] },
+                    requests = runner,
                     identity = OwnerIdentity(settings.entryId, settings.advertisedAddress),
-                    settings =
-                        OwnerSettings(
-                            flushWindowMillis = settings.flushWindowMillis,
-                            shutdownMillis = settings.shutdownMillis,
-                        ),
-                    placement = FirstFitPlacement,
+                    settings = ownerSettings(),
                     configuration = ConfigurationSource(configuration),
+                    placement = PartitionPlacement(configuration, clock),
                 ),
-            surroundings = PartitionSurroundings(scope, log, clock, System::currentTimeMillis, { hub[it] }, runner),
+        )
+
+    private fun ownerSettings(): OwnerSettings =
+        OwnerSettings(
+            flushWindowMillis = settings.flushWindowMillis,
+            shutdownMillis = settings.shutdownMillis,
+            retention = RetentionSettings(logMillis = settings.logRetentionMillis),
         )
 
     private companion object {
         private val logger = LogManager.getLogger(EntryProcess::class.java)
         private const val TICK_MILLIS = 10L
+        private const val RESTORE_DELAY_MILLIS = 500L
 
         /** Time for the release of the partitions to be read back; without it the next owner has to wait. */
         private const val RELEASE_MILLIS = 5_000L
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntrySettings.kt
@@ -21,6 +21,7 @@
     val partitions: Int,
     val flushWindowMillis: Long,
     val shutdownMillis: Long,
+    val logRetentionMillis: Long,
     val token: String?,
     val otlpEndpoint: String?,
 ) {
@@ -33,6 +34,7 @@
             rangeFault("partitions", partitions.toLong(), PARTITIONS, "partitions"),
             rangeFault("flush-window-millis", flushWindowMillis, FLUSH_WINDOW_MILLIS, "milliseconds"),
             rangeFault("shutdown-millis", shutdownMillis, SHUTDOWN_MILLIS, "milliseconds"),
+            rangeFault("log-retention-millis", logRetentionMillis, LOG_RETENTION_MILLIS, "milliseconds"),
             "failure-domain is empty; give the name of the failure domain of this host"
                 .takeIf { failureDomain.value.isBlank() },
             "token is missing while http-host $httpHost is open to other hosts; set a token or listen on 127.0.0.1"
@@ -63,6 +65,9 @@
         private val PARTITIONS = 1L..4_096L
         private val FLUSH_WINDOW_MILLIS = 0L..1_000L
         private val SHUTDOWN_MILLIS = 0L..600_000L
+
+        /** At least ten minutes, so that four snapshots a retention are minutes apart. */
+        private val LOG_RETENTION_MILLIS = 600_000L..31_622_400_000L
     }
 }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/HttpServer.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/HttpServer.kt
@@ -3,7 +3,6 @@
  */
 package org.greengagepass.entry.process
 
-import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.ApplicationCallPipeline
 import io.ktor.server.application.call
@@ -16,6 +15,7 @@
 import io.ktor.server.request.path
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
+import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.ResultCode
@@ -38,9 +38,6 @@
             embeddedServer(CIO, host = host, port = port) {
                 install(StatusPages) {
                     exception<Throwable> { call, cause -> call.respondInternal(cause) }
-                    status(HttpStatusCode.NotFound) { call, _ ->
-                        call.respondError(ApiError(ResultCode.NOT_FOUND, "there is no ${call.request.path()}"))
-                    }
                 }
                 intercept(ApplicationCallPipeline.Plugins) {
                     if (!call.isAuthorised()) {
@@ -48,7 +45,14 @@
                         finish()
                     }
                 }
-                routing { installRoutes() }
+                routing {
+                    installRoutes()
+                    route("{...}") {
+                        handle {
+                            call.respondError(ApiError(ResultCode.NOT_FOUND, "there is no ${call.request.path()}"))
+                        }
+                    }
+                }
             }
         server.startSuspend(wait = false)
         return server.engine
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/OwnerLoop.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/OwnerLoop.kt
@@ -12,37 +12,62 @@
 import org.greengagepass.core.HostId
 import org.greengagepass.core.RequestId
 import org.greengagepass.core.ResultCode
+import org.greengagepass.core.Timestamp
 import org.greengagepass.core.process.BatchAtOffset
 import org.greengagepass.core.process.CallerAnswer
 import org.greengagepass.core.process.ClockReading
+import org.greengagepass.core.process.ConfigurationView
 import org.greengagepass.core.process.OwnerDecision
+import org.greengagepass.core.process.OwnerIdentity
 import org.greengagepass.core.process.OwnerInput
+import org.greengagepass.core.process.OwnerSettings
 import org.greengagepass.core.process.PartitionOwner
+import org.greengagepass.core.process.PartitionState
+import org.greengagepass.core.process.Snapshot
 import org.greengagepass.core.request.RequestOutcome
 import org.greengagepass.entry.connection.AgentSession
 import org.greengagepass.entry.connection.toMessage
 import org.greengagepass.entry.request.CallerRequest
 import org.greengagepass.entry.request.RequestRunner
+import org.greengagepass.platform.process.LogPage
 import org.greengagepass.platform.process.LogRecord
 import org.greengagepass.platform.process.LogService
 import java.util.UUID
 
 /** What a partition needs of the process around it. */
-public class PartitionSurroundings(
+public data class PartitionSurroundings(
     public val scope: CoroutineScope,
     public val log: LogService,
     public val clock: MonotonicClock,
     public val epochMillis: () -> Long,
     public val sessionOf: (HostId) -> AgentSession?,
     public val requests: RequestRunner,
+    public val identity: OwnerIdentity,
+    public val settings: OwnerSettings,
+    public val configuration: ConfigurationView,
+    public val placement: PartitionPlacement,
 )
 
-/** Carries out the decisions of [owner] for [stream]. */
+/** Carries out the decisions of the owner of [stream], which starts with [state]. */
 internal class OwnerLoop(
     private val stream: String,
-    private val owner: PartitionOwner,
     private val surroundings: PartitionSurroundings,
+    private val snapshots: PartitionSnapshots,
+    state: PartitionState,
 ) {
+    /** Decides for the partition. */
+    val owner =
+        PartitionOwner(
+            identity = surroundings.identity,
+            settings = surroundings.settings,
+            placement = surroundings.placement.policy,
+            configuration = surroundings.configuration,
+            state = state,
+        )
+
+    /** Oldest offset that the log still has, once records before it have expired unread; null until then. */
+    var restoreFrom: Long? = null
+        private set
     private val callers = HashMap<RequestId, WaitingCaller>()
 
     /** Completes when the release of the partition is in the log. */
@@ -54,6 +79,30 @@
         owner.handle(input, reading).forEach(::carryOut)
     }
 
+    /** Lets time pass, and evicts tasks for which placement has found a more urgent one. */
+    fun tick() {
+        handle(OwnerInput.Tick)
+        surroundings.placement.policy
+            .takeEvictions()
+            .forEach { handle(OwnerInput.EvictTask(it)) }
+    }
+
+    /** Gives the owner a page of its stream, whose read was sent at [readSentAt]. */
+    fun onPage(
+        page: LogPage,
+        readSentAt: Timestamp,
+    ) {
+        handle(
+            OwnerInput.PageRead(
+                sentAt = readSentAt,
+                fromOffset = owner.state.nextOffset,
+                batches = page.records.mapNotNull { decodeTaskBatch(stream, it) },
+                nextOffset = page.nextOffset,
+                oldestOffset = page.oldestOffset,
+            ),
+        )
+    }
+
     /** Gives the owner the input that [input] makes for a new identifier, and waits for the answer. */
     suspend fun ask(
         request: CallerRequest? = null,
@@ -79,9 +128,8 @@
             is OwnerDecision.OwnershipGained -> logger.info("owner of {} in epoch {}", stream, decision.epoch.value)
             is OwnerDecision.OwnershipLost -> logger.info("{} now belongs to {}", stream, decision.address)
             is OwnerDecision.ReleaseRecorded -> released.complete(Unit)
-            is OwnerDecision.WriteSnapshot -> Unit
-            is OwnerDecision.RestoreRequired ->
-                logger.error("records of {} before offset {} expired unread", stream, decision.oldestOffset)
+            is OwnerDecision.WriteSnapshot -> writeSnapshot()
+            is OwnerDecision.RestoreRequired -> requireRestore(decision)
         }
     }
 
@@ -105,6 +153,18 @@
         handle(OwnerInput.RequestEnded(decision.key, decision.token, outcome))
     }
 
+    /** Takes the snapshot now and writes it later, while the state goes on to change. */
+    private fun writeSnapshot() {
+        val chunks = Snapshot.take(owner.state, surroundings.identity.entry.value)
+        surroundings.scope.launch { snapshots.write(chunks) }
+    }
+
+    private fun requireRestore(decision: OwnerDecision.RestoreRequired) {
+        logger.error("records of {} before offset {} expired unread", stream, decision.oldestOffset)
+        restoreFrom = decision.oldestOffset
+        callers.values.forEach { it.answer.complete(CallerAnswer.Ended(RESTORING)) }
+    }
+
     private class WaitingCaller(
         val request: CallerRequest?,
         val answer: CompletableDeferred<CallerAnswer>,
@@ -112,6 +172,8 @@
 
     private companion object {
         private val logger = LogManager.getLogger(OwnerLoop::class.java)
+        private val RESTORING =
+            RequestOutcome.Unknown(ResultCode.APPEND_NOT_CONFIRMED, "the partition is read again from a snapshot")
         private val CALLER_GONE = RequestOutcome.NotRun(ResultCode.DEADLINE_EXPIRED, "the caller has gone")
     }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionService.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionService.kt
@@ -3,7 +3,11 @@
  */
 package org.greengagepass.entry.process
 
+import arrow.core.Either
+import kotlinx.coroutines.delay
+import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.PartitionNumber
+import org.greengagepass.core.RequestId
 import org.greengagepass.core.ResultCode
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.Timestamp
@@ -11,49 +15,57 @@
 import org.greengagepass.core.process.OwnerInput
 import org.greengagepass.core.process.Ownership
 import org.greengagepass.core.process.PartitionOwner
+import org.greengagepass.core.process.PartitionState
 import org.greengagepass.core.process.RequestKey
 import org.greengagepass.core.process.TaskSpecification
-import org.greengagepass.core.process.TaskTable
 import org.greengagepass.core.request.RequestOutcome
 import org.greengagepass.entry.connection.AgentSession
 import org.greengagepass.entry.connection.toOwnerInput
 import org.greengagepass.entry.request.CallerRequest
-import org.greengagepass.platform.process.LogPage
 import org.greengagepass.protocol.connection.AgentMessage
 
-/** Partition [number], whose decisions [owner] makes. Confined to the process's decision dispatcher. */
+/**
+ * Partition [number]. It knows nothing until [follow] has read the newest snapshot. Confined to the process's decision
+ * dispatcher.
+ */
 public class PartitionService(
     number: PartitionNumber,
-    private val owner: PartitionOwner,
     private val surroundings: PartitionSurroundings,
 ) {
     private val stream = "tasks-${number.value}"
-    private val loop = OwnerLoop(stream, owner, surroundings)
+    private val snapshots = PartitionSnapshots(surroundings.log, stream)
+    private var loop: OwnerLoop? = null
+
+    /** The partition as far as its stream has been read; null before the newest snapshot is read. */
+    public val owner: PartitionOwner?
+        get() = loop?.owner
 
     /** True if this entry schedules the partition. */
     public val isOwned: Boolean
-        get() = owner.ownedEpoch != null
+        get() = owner?.ownedEpoch != null
 
     /** Who schedules the partition, as far as the stream has been read. */
     public val ownership: Ownership
-        get() = owner.state.ownership
-
-    /** The tasks, as far as the stream has been read. */
-    public val tasks: TaskTable
-        get() = owner.state.tasks
+        get() = owner?.state?.ownership ?: Ownership.NONE
 
-    /** Number of records that wait to be appended or read back. */
-    public val queueLength: Int
-        get() = owner.queueLength
+    /** Placement of the partition's tasks, while this entry owns it. */
+    public val placement: PartitionPlacement
+        get() = surroundings.placement
 
-    /** Follows the stream until the process ends. */
+    /** Follows the stream until the process ends, again from the newest snapshot if records have expired unread. */
     public suspend fun follow() {
-        StreamFollower(surroundings.log, stream, surroundings.clock, onPage = ::onPage).run()
+        while (true) {
+            when (val state = snapshots.newest()) {
+                is Either.Left -> logger.warn("snapshots of {} can't be read: {}", stream, state.value.detail)
+                is Either.Right -> follow(state.value)
+            }
+            delay(RESTORE_DELAY_MILLIS)
+        }
     }
 
     /** Lets time pass; to be called once in each flush window. */
     public fun tick() {
-        loop.handle(OwnerInput.Tick)
+        loop?.tick()
     }
 
     /** A heartbeat of an agent of this partition. */
@@ -61,7 +73,8 @@
         session: AgentSession,
         heartbeat: AgentMessage.Heartbeat,
     ) {
-        heartbeat.toOwnerInput(session.hello)?.let(loop::handle)
+        surroundings.placement.onHeartbeat(session.hello.host, heartbeat)
+        heartbeat.toOwnerInput(session.hello)?.let { loop?.handle(it) }
     }
 
     /** An event of an attempt on a host of this partition. */
@@ -69,20 +82,22 @@
         session: AgentSession,
         event: AgentMessage.TaskEvent,
     ) {
-        loop.handle(event.toOwnerInput(session.identity))
+        val input = event.toOwnerInput(session.identity)
+        surroundings.placement.onEvent(input)
+        loop?.handle(input)
     }
 
     /** Submits a task and waits for the record to be read back, until [deadline]. */
     public suspend fun submit(
         specification: TaskSpecification,
         deadline: Timestamp,
-    ): CallerAnswer = loop.ask { OwnerInput.SubmitTask(it, specification, deadline) }
+    ): CallerAnswer = ask { OwnerInput.SubmitTask(it, specification, deadline) }
 
     /** Asks for [taskId] to be cancelled. */
     public suspend fun cancel(
         taskId: TaskId,
         deadline: Timestamp,
-    ): CallerAnswer = loop.ask { OwnerInput.CancelTask(it, taskId, deadline) }
+    ): CallerAnswer = ask { OwnerInput.CancelTask(it, taskId, deadline) }
 
     /** Carries out a non-idempotent request under [key], at most once. */
     public suspend fun execute(
@@ -91,7 +106,7 @@
         bodyDigest: String,
     ): RequestOutcome {
         val answer =
-            loop.ask(request) { requestId -> OwnerInput.ClaimRequest(requestId, key, bodyDigest, request.deadline) }
+            ask(request) { requestId -> OwnerInput.ClaimRequest(requestId, key, bodyDigest, request.deadline) }
         return when (answer) {
             is CallerAnswer.Ended -> answer.outcome
             is CallerAnswer.Submitted, is CallerAnswer.CancelRecorded ->
@@ -101,23 +116,40 @@
 
     /** Gives the partition up and waits until that is recorded. */
     public suspend fun release() {
-        val wasOwned = isOwned
-        loop.handle(OwnerInput.Shutdown)
-        if (wasOwned) loop.released.await()
+        val owned = loop?.takeIf { isOwned }
+        loop?.handle(OwnerInput.Shutdown)
+        owned?.released?.await()
     }
 
-    private fun onPage(
-        page: LogPage,
-        readSentAt: Timestamp,
-    ) {
-        loop.handle(
-            OwnerInput.PageRead(
-                sentAt = readSentAt,
-                fromOffset = owner.state.nextOffset,
-                batches = page.records.mapNotNull { decodeTaskBatch(stream, it) },
-                nextOffset = page.nextOffset,
-                oldestOffset = page.oldestOffset,
-            ),
-        )
+    private suspend fun ask(
+        request: CallerRequest? = null,
+        input: (RequestId) -> OwnerInput,
+    ): CallerAnswer = loop?.ask(request, input) ?: NOT_READ
+
+    /** Follows from [state]; goes on after expired records that no snapshot covers, for they can't come back. */
+    private suspend fun follow(state: PartitionState) {
+        val oldestOffset = loop?.restoreFrom ?: 0
+        if (state.nextOffset < oldestOffset) {
+            logger.error("{}: records from {} to {} are lost", stream, state.nextOffset, oldestOffset)
+            state.skipTo(oldestOffset)
+        }
+        val restored = OwnerLoop(stream, surroundings, snapshots, state)
+        loop = restored
+        StreamFollower(
+            log = surroundings.log,
+            stream = stream,
+            clock = surroundings.clock,
+            fromOffset = restored.owner.state.nextOffset,
+            onPage = restored::onPage,
+        ).runWhile { restored.restoreFrom == null }
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger(PartitionService::class.java)
+        private const val RESTORE_DELAY_MILLIS = 500L
+        private val NOT_READ =
+            CallerAnswer.Ended(
+                RequestOutcome.NotRun(ResultCode.LOG_UNAVAILABLE, "the partition has not been read from the log yet"),
+            )
     }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/ServeCommand.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/ServeCommand.kt
@@ -85,6 +85,11 @@
         envvar = "GREENGAGEPASS_SHUTDOWN_MILLIS",
         help = "Milliseconds for which a stopping entry waits for requests in progress (default 30000)",
     ).long().default(DEFAULT_SHUTDOWN_MILLIS)
+    private val logRetentionMillis: Long by option(
+        "--log-retention-millis",
+        envvar = "GREENGAGEPASS_LOG_RETENTION_MILLIS",
+        help = "Milliseconds for which the log keeps records (default 3600000)",
+    ).long().default(DEFAULT_LOG_RETENTION_MILLIS)
     private val token: String? by option(
         "--token",
         envvar = "GREENGAGEPASS_TOKEN",
@@ -117,6 +122,7 @@
             partitions = partitions,
             flushWindowMillis = flushWindowMillis,
             shutdownMillis = shutdownMillis,
+            logRetentionMillis = logRetentionMillis,
             token = token,
             otlpEndpoint = otlpEndpoint,
         )
@@ -127,6 +133,7 @@
         private const val DEFAULT_PEER_PORT = 8082
         private const val DEFAULT_FLUSH_WINDOW_MILLIS = 20L
         private const val DEFAULT_SHUTDOWN_MILLIS = 30_000L
+        private const val DEFAULT_LOG_RETENTION_MILLIS = 3_600_000L
     }
 }
 
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/SnapshotStream.kt
@@ -0,0 +1,58 @@
+/*
+ * A stream of the log that holds snapshots of another one. Snapshots expire like all records, so they are written
+ * again in time; a new process reads the newest whole one.
+ */
+package org.greengagepass.entry.process
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.BatchCodec
+import org.greengagepass.platform.process.LogRecord
+import org.greengagepass.platform.process.LogService
+import org.greengagepass.platform.process.PlatformError
+
+/** Reads and writes [stream], whose records are encoded by [codec]. */
+public class SnapshotStream<C>(
+    private val log: LogService,
+    private val stream: String,
+    private val codec: BatchCodec<C>,
+) {
+    /** Hands every readable record to [onRecord], oldest first, up to the head of the stream. */
+    public suspend fun readAll(onRecord: (C) -> Unit): Either<PlatformError, Unit> {
+        var nextOffset = 0L
+        while (true) {
+            when (val page = log.read(stream, nextOffset, waitMillis = 0)) {
+                is Either.Left -> return page.value.left()
+
+                is Either.Right -> {
+                    page.value.records.forEach { record -> decode(record)?.let(onRecord) }
+                    if (page.value.records.isEmpty()) return Unit.right()
+                    nextOffset = page.value.nextOffset
+                }
+            }
+        }
+    }
+
+    /** Appends [chunks] in order; stops at the first that is not answered, and the next snapshot replaces it. */
+    public suspend fun write(chunks: List<C>) {
+        val failure = chunks.firstNotNullOfOrNull { log.append(stream, codec.encode(it)).leftOrNull() }
+        if (failure != null) {
+            logger.warn("snapshot to {} was not completed: {}", stream, failure.detail)
+        }
+    }
+
+    private fun decode(record: LogRecord): C? =
+        codec.decode(record.payload).fold(
+            { error ->
+                logger.error("{} offset {}: {}", stream, record.offset, error.detail)
+                null
+            },
+            { it },
+        )
+
+    private companion object {
+        private val logger = LogManager.getLogger(SnapshotStream::class.java)
+    }
+}
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/StreamFollower.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/StreamFollower.kt
@@ -22,8 +22,11 @@
     private val onPage: suspend (LogPage, readSentAt: Timestamp) -> Unit,
 ) {
     /** Reads until the coroutine is cancelled. */
-    public suspend fun run() {
-        while (true) {
+    public suspend fun run(): Unit = runWhile { true }
+
+    /** Reads while [condition] holds, which is asked after each page. */
+    public suspend fun runWhile(condition: () -> Boolean) {
+        while (condition()) {
             readOnce()
         }
     }
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/TaskRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/TaskRoutes.kt
@@ -122,7 +122,10 @@
     private fun viewOf(taskId: TaskId): Either<ApiError, TaskView> =
         partitions
             .of(taskId)
-            .tasks[taskId]
+            .owner
+            ?.state
+            ?.tasks
+            ?.get(taskId)
             ?.toView()
             ?.right()
             ?: ApiError(ResultCode.NOT_FOUND, "there is no task ${taskId.value}").left()
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationSnapshots.kt
@@ -0,0 +1,59 @@
+/*
+ * Snapshots of the configuration. One entry writes them, the owner of the first partition.
+ */
+package org.greengagepass.entry.version
+
+import arrow.core.Either
+import org.greengagepass.core.BatchCodec
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.version.ConfigurationSnapshot
+import org.greengagepass.core.version.ConfigurationState
+import org.greengagepass.entry.process.SnapshotStream
+import org.greengagepass.platform.process.LogService
+import org.greengagepass.platform.process.PlatformError
+
+/** Takes and restores snapshots of the configuration; the log keeps records for [logRetentionMillis]. */
+public class ConfigurationSnapshots(
+    log: LogService,
+    private val logRetentionMillis: Long,
+) {
+    private val snapshots = SnapshotStream(log, "$CONFIGURATION_STREAM-snapshots", BatchCodec.CONFIGURATION_SNAPSHOTS)
+    private var writtenOffset = 0L
+    private var dueAt: Timestamp? = null
+
+    /** Restores the newest snapshot into [state]. */
+    public suspend fun restore(state: ConfigurationState): Either<PlatformError, Unit> {
+        var newest: ConfigurationSnapshot? = null
+        return snapshots
+            .readAll { if (it.nextOffset >= (newest?.nextOffset ?: 0)) newest = it }
+            .map { newest?.let(state::restore) }
+    }
+
+    /** The snapshot to write at [now], or null if none is due. */
+    public fun dueSnapshot(
+        state: ConfigurationState,
+        now: Timestamp,
+    ): ConfigurationSnapshot? {
+        val due = dueAt ?: now.plusMillis(INTERVAL_MILLIS).also { dueAt = it }
+        val isChanged = state.nextOffset > writtenOffset
+        val isExpiring = now >= due.plusMillis(logRetentionMillis / SNAPSHOTS_PER_RETENTION)
+        val isDue = now >= due && (isChanged || isExpiring)
+        if (isDue) {
+            writtenOffset = state.nextOffset
+            dueAt = now.plusMillis(INTERVAL_MILLIS)
+        }
+        return if (isDue) state.snapshot() else null
+    }
+
+    /** Appends [snapshot]. */
+    public suspend fun write(snapshot: ConfigurationSnapshot) {
+        snapshots.write(listOf(snapshot))
+    }
+
+    private companion object {
+        private const val INTERVAL_MILLIS = 60_000L
+
+        /** Snapshots expire like other records; four per retention leave three chances to miss one. */
+        private const val SNAPSHOTS_PER_RETENTION = 4
+    }
+}
