Fix two faults that the random histories found

Cause 1 (history): an owner that was replaced and cut off answered a restarted agent, did not know the new owner's tokens, and listed them as recorded; the agent forgot running attempts and one was started twice. Change 1: a token beyond what the owner has read is never listed as recorded. Cause 2 (history -): a task that cannot run and was cancelled before its Failed record stayed in the set of given-up tasks, and the last waiting task was never placed. Change 2: the set drops tasks that no longer wait.

--- a/core/src/main/kotlin/org/greengagepass/core/process/AttemptEnds.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/AttemptEnds.kt
@@ -65,12 +65,17 @@
         result: String,
     ) = end(attempt, Finished(context.epoch, task.id, attempt.token, result))
 
-    /** Notes that [token] on [host] is not current any more, so that the agent is told. */
+    /**
+     * Notes that [token] on [host] is not current any more, so that the agent is told. A token that was not read yet
+     * was assigned by a newer owner and may well be current.
+     */
     fun record(
         host: HostId,
         token: FencingToken,
     ) {
-        recorded.getOrPut(host) { HashSet() } += token
+        if (context.state.hasRead(token)) {
+            recorded.getOrPut(host) { HashSet() } += token
+        }
     }
 
     /** The tokens to list as recorded in the next grant to [host]. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/Grants.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Grants.kt
@@ -38,7 +38,9 @@
             .on(heartbeat.host)
             .forEach { add(it, draft) }
         host.free = host.assigning.values.fold(heartbeat.free - draft.uncounted, Resources::minus)
-        val stale = draft.held.keys - draft.current
+        draft.held.keys
+            .filter { it !in draft.current }
+            .forEach { ends.record(heartbeat.host, it) }
         return HostGrant(
             sequence = heartbeat.sequence,
             epoch = context.epoch,
@@ -47,7 +49,7 @@
             renewals = draft.renewals,
             starts = draft.starts,
             commands = draft.commands,
-            recorded = (stale + ends.takeRecorded(heartbeat.host)).toList(),
+            recorded = ends.takeRecorded(heartbeat.host).toList(),
         )
     }
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/Ownership.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Ownership.kt
@@ -22,6 +22,9 @@
     /** How long, after the release that it states, owners before this one may still renew leases. */
     val remainingWaitMillis: Long,
 ) {
+    /** True if [entry] owns the partition and has not released it. */
+    public fun isHeldBy(entry: EntryId): Boolean = owner == entry && !released
+
     /** True if a record that was written under [recordEpoch] is the current owner's. */
     internal fun permits(recordEpoch: Epoch): Boolean = recordEpoch == epoch && !released
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/OwnershipTracker.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/OwnershipTracker.kt
@@ -60,7 +60,7 @@
     /** Notes that the log had shown this entry as the owner at [time] or later. */
     fun confirm(time: Timestamp) {
         val known = confirmedAt
-        if (state.isOwnedBy(context.identity.entry) && (known == null || known < time)) {
+        if (state.ownership.isHeldBy(context.identity.entry) && (known == null || known < time)) {
             confirmedAt = time
         }
     }
@@ -104,7 +104,7 @@
     }
 
     private fun updateOwnedEpoch() {
-        val current = state.ownership.epoch.takeIf { state.isOwnedBy(context.identity.entry) }
+        val current = state.ownership.epoch.takeIf { state.ownership.isHeldBy(context.identity.entry) }
         val before = ownedEpoch
         if (before != null && before != current) {
             context.decide(
--- a/core/src/main/kotlin/org/greengagepass/core/process/PartitionOwner.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/PartitionOwner.kt
@@ -11,7 +11,6 @@
 import org.greengagepass.core.process.OwnerInput.PageRead
 import org.greengagepass.core.process.TaskRecord.Assigned
 import org.greengagepass.core.process.TaskRecord.Cancelled
-import org.greengagepass.core.process.TaskRecord.Failed
 import org.greengagepass.core.process.TaskRecord.Finished
 import org.greengagepass.core.process.TaskRecord.OwnerRecord
 import org.greengagepass.core.process.TaskRecord.PartitionClaimed
@@ -131,7 +130,6 @@
                 is Released -> ended(record.token).also { placements.released(record.taskId) }
                 is Finished -> ended(record.token)
                 is Cancelled -> ended(state.tasks[record.taskId]?.lastToken ?: FencingToken.NONE)
-                is Failed -> placements.ended(record.taskId)
                 else -> Unit
             }
         }
--- a/core/src/main/kotlin/org/greengagepass/core/process/PartitionState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/PartitionState.kt
@@ -4,7 +4,6 @@
  */
 package org.greengagepass.core.process
 
-import org.greengagepass.core.EntryId
 import org.greengagepass.core.FencingToken
 import org.greengagepass.core.process.TaskRecord.CancelRequested
 import org.greengagepass.core.process.TaskRecord.KeyRecord
@@ -80,8 +79,8 @@
         nextOffset = maxOf(nextOffset, offset)
     }
 
-    /** True if [entry] owns the partition under the current epoch and has not released it. */
-    public fun isOwnedBy(entry: EntryId): Boolean = ownership.owner == entry && !ownership.released
+    /** True if the record at [position] lies before the end of what was read, so that the state accounts for it. */
+    public fun hasRead(position: FencingToken): Boolean = position < FencingToken.of(nextOffset, index = 0)
 
     internal fun restore(header: SnapshotRecord.Header) {
         ownership = header.ownership
--- a/core/src/main/kotlin/org/greengagepass/core/process/PlacementRounds.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/PlacementRounds.kt
@@ -25,10 +25,12 @@
     /** Places tasks if a round is due; [mayPlace] is false while the entry is stopping or not the owner. */
     fun tick(mayPlace: Boolean) {
         if (mayPlace && context.now >= nextRoundAt) {
+            // A task may also have been cancelled in the meantime.
+            condemned.removeIf { state.tasks[it]?.state !is TaskState.Waiting }
             condemned.forEach(::giveUp)
             nextRoundAt = context.now.plusMillis(context.settings.flushWindowMillis)
             val hasRoom = context.appender.size < context.settings.queueMaximum / 2
-            if (permission.isGiven && hasRoom && state.tasks.waiting.size > assigning.size + condemned.size) {
+            if (permission.isGiven && hasRoom && state.tasks.waiting.size > condemned.size) {
                 policy.place(round()).take(context.settings.placementsMaximum).forEach(::assign)
             }
         }
@@ -46,11 +48,6 @@
         }
     }
 
-    /** Notes that the task [taskId] has ended. */
-    fun ended(taskId: TaskId) {
-        condemned -= taskId
-    }
-
     /** Takes up what an earlier owner left. */
     fun ownershipGained() {
         state.tasks.waiting.forEach { released(it.id) }
