--- a/core/src/main/kotlin/org/greengagepass/core/process/LogAppender.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/LogAppender.kt
@@ -84,7 +84,7 @@
     }
 
     private fun nextBatch(now: Timestamp): TaskBatch {
-        val records = queue.take(settings.batchMaximum)
+        val records = queue.takeFitting(settings.batchMaximum) { it.estimatedBytes() }
         inFlightRecords = records.toSet()
         queue.removeAll(inFlightRecords)
         firstSentAt = now
--- a/core/src/main/kotlin/org/greengagepass/core/process/Snapshot.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Snapshot.kt
@@ -56,7 +56,7 @@
         writer: String,
         recordsPerChunk: Int = RECORDS_PER_CHUNK,
     ): List<SnapshotChunk> {
-        val parts = recordsOf(state).chunked(recordsPerChunk)
+        val parts = partsOf(recordsOf(state), recordsPerChunk)
         return parts.mapIndexed { index, records ->
             SnapshotChunk(writer, state.nextOffset, index, parts.size, records)
         }
@@ -77,6 +77,20 @@
             .sortedByDescending { it.first().nextOffset }
             .firstNotNullOfOrNull { chunks -> restore(chunks.distinctBy { it.index }.sortedBy { it.index }) }
 
+    private fun partsOf(
+        records: List<SnapshotRecord>,
+        recordsPerChunk: Int,
+    ): List<List<SnapshotRecord>> {
+        val parts = mutableListOf<List<SnapshotRecord>>()
+        var taken = 0
+        while (taken < records.size) {
+            val part = records.subList(taken, records.size).takeFitting(recordsPerChunk) { it.estimatedBytes() }
+            parts += part
+            taken += part.size
+        }
+        return parts
+    }
+
     private fun recordsOf(state: PartitionState): List<SnapshotRecord> =
         buildList {
             add(SnapshotRecord.Header(state.nextOffset, state.epochMillis, state.ownership, state.writerPositions))
--- a/core/src/test/kotlin/org/greengagepass/core/process/FakeLog.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/FakeLog.kt
@@ -9,7 +9,7 @@
     private val simulation: Simulation,
     private val guarantees: Guarantees,
 ) {
-    private val batches = ArrayList<TaskBatch>()
+    val batches = ArrayList<TaskBatch>()
     var isDown = false
 
     fun append(batch: TaskBatch) =
