--- a/core/src/main/kotlin/org/greengagepass/core/process/Ownership.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/Ownership.kt
@@ -30,6 +30,9 @@
     public val activeAddress: String?
         get() = activeOwner?.let { address }
 
+    /** True if [entry] owns the partition and has not released it. */
+    public fun isHeldBy(entry: EntryId): Boolean = owner == entry && !released
+
     /** True if a record that was written under [recordEpoch] is the current owner's. */
     internal fun permits(recordEpoch: Epoch): Boolean = recordEpoch == epoch && !released
 
