Add the operators' command line and the check of settings

Cause: the binary had only serve; operators had to use curl, and a wrong setting was reported one at a time.

Ruled out: typed Clikt options for the settings, because Clikt ends at the first value that it can't convert and the range checks would not be reached.

Change: each setting is described once (EntrySetting) and read as text, so that `config check` reports every fault and unknown GREENGAGEPASS_ variables in one run. Commands for profiles, failure domains, tasks, workers and quotas call an entry over HTTP; exit codes 3 to 6 tell whether a change may have happened.

--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/GreengagepassCommand.kt
@@ -0,0 +1,35 @@
+/*
+ * The program's commands: one that serves, and those by which operators control the entries.
+ */
+package org.greengagepass.entry
+
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.NoOpCliktCommand
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.versionOption
+import org.greengagepass.entry.connection.WorkersCommand
+import org.greengagepass.entry.process.ConfigCommand
+import org.greengagepass.entry.process.ServeCommand
+import org.greengagepass.entry.request.TasksCommand
+import org.greengagepass.entry.version.FailureDomainsCommand
+import org.greengagepass.entry.version.ProfilesCommand
+import org.greengagepass.entry.version.QuotasCommand
+
+/** The program's commands. */
+public class GreengagepassCommand : NoOpCliktCommand(name = "greengagepass") {
+    init {
+        versionOption(GreengagepassCommand::class.java.`package`.implementationVersion ?: "development")
+        subcommands(
+            ServeCommand(),
+            ConfigCommand(),
+            ProfilesCommand(),
+            FailureDomainsCommand(),
+            TasksCommand(),
+            WorkersCommand(),
+            QuotasCommand(),
+        )
+    }
+
+    override fun help(context: Context): String =
+        "Serves callers, operators and agents, and is the operators' command line."
+}
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntrySettings.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntrySettings.kt
@@ -21,48 +21,75 @@
     val partitions: Int,
     val flushWindowMillis: Long,
     val shutdownMillis: Long,
+    val notReadyMillis: Long,
     val token: String?,
     val otlpEndpoint: String?,
 ) {
     /** What is wrong with the settings, one sentence for each fault; empty if nothing is. */
     public fun faults(): List<String> =
-        listOfNotNull(
-            portFault("http-port", httpPort),
-            portFault("agent-port", agentPort),
-            portFault("peer-port", peerPort),
-            rangeFault("partitions", partitions.toLong(), PARTITIONS, "partitions"),
-            rangeFault("flush-window-millis", flushWindowMillis, FLUSH_WINDOW_MILLIS, "milliseconds"),
-            rangeFault("shutdown-millis", shutdownMillis, SHUTDOWN_MILLIS, "milliseconds"),
-            "failure-domain is empty; give the name of the failure domain of this host"
-                .takeIf { failureDomain.value.isBlank() },
-            "token is missing while http-host $httpHost is open to other hosts; set a token or listen on 127.0.0.1"
-                .takeIf { token.isNullOrEmpty() && !isLoopback(httpHost) },
-            "log-url is $logUrl; it must start with http:// or https://"
-                .takeIf { !logUrl.startsWith("http://") && !logUrl.startsWith("https://") },
-        ) + peers.mapNotNull(::peerFault)
+        numbers().mapNotNull { (setting, value) -> rangeFault(setting, value) } +
+            listOfNotNull(
+                "failure-domain is missing; give the name of the failure domain of this host"
+                    .takeIf { failureDomain.value.isBlank() },
+                "token is missing while http-host $httpHost is open to other hosts; set a token or listen on 127.0.0.1"
+                    .takeIf { token.isNullOrEmpty() && !isLoopback(httpHost) },
+                "log-url is '$logUrl'; it must start with http:// or https://".takeIf { !isUrl(logUrl) },
+                "otlp-endpoint is '$otlpEndpoint'; it must start with http:// or https://"
+                    .takeIf { otlpEndpoint != null && !isUrl(otlpEndpoint) },
+                addressFault("advertised-address", advertisedAddress),
+            ) + peers.mapNotNull { addressFault("peers", it) }
 
-    private fun portFault(
-        name: String,
-        value: Int,
-    ): String? = rangeFault(name, value.toLong(), PORTS, "port number")
+    /** The settings as lines of name and value, without secrets. */
+    public fun describe(): List<String> =
+        listOf(
+            EntrySetting.ENTRY_ID to entryId.value,
+            EntrySetting.FAILURE_DOMAIN to failureDomain.value,
+            EntrySetting.LOG_URL to withoutCredentials(logUrl),
+            EntrySetting.HTTP_HOST to httpHost,
+            EntrySetting.AGENT_HOST to agentHost,
+            EntrySetting.ADVERTISED_ADDRESS to advertisedAddress,
+            EntrySetting.PEERS to peers.joinToString(","),
+            EntrySetting.TOKEN to if (token.isNullOrEmpty()) "not set" else "set",
+            EntrySetting.OTLP_ENDPOINT to withoutCredentials(otlpEndpoint ?: "not set"),
+        ).plus(numbers().map { (setting, value) -> setting to "$value ${setting.unit}" })
+            .sortedBy { (setting, _) -> setting.settingName }
+            .map { (setting, value) -> "${setting.settingName}: $value" }
+
+    private fun numbers(): List<Pair<EntrySetting, Long>> =
+        listOf(
+            EntrySetting.HTTP_PORT to httpPort.toLong(),
+            EntrySetting.AGENT_PORT to agentPort.toLong(),
+            EntrySetting.PEER_PORT to peerPort.toLong(),
+            EntrySetting.PARTITIONS to partitions.toLong(),
+            EntrySetting.FLUSH_WINDOW_MILLIS to flushWindowMillis,
+            EntrySetting.SHUTDOWN_MILLIS to shutdownMillis,
+            EntrySetting.NOT_READY_MILLIS to notReadyMillis,
+        )
 
     private fun rangeFault(
-        name: String,
+        setting: EntrySetting,
         value: Long,
-        range: LongRange,
-        unit: String,
-    ): String? = "$name is $value; allowed are ${range.first} to ${range.last} ($unit)".takeIf { value !in range }
+    ): String? {
+        val range = setting.range ?: return null
+        return "${setting.settingName} is $value; allowed are ${range.first} to ${range.last} (${setting.unit})"
+            .takeIf { value !in range }
+    }
 
-    private fun peerFault(address: String): String? =
-        "peers contains $address; each must be host:port".takeIf { SocketAddressText.parse(address) == null }
+    private fun addressFault(
+        name: String,
+        address: String,
+    ): String? =
+        "$name contains '$address'; an address must be host:port".takeIf { SocketAddressText.parse(address) == null }
+
+    private fun isUrl(text: String): Boolean = text.startsWith("http://") || text.startsWith("https://")
+
+    private fun withoutCredentials(url: String): String = url.replace(CREDENTIALS, "//")
 
     private fun isLoopback(host: String): Boolean = host == "localhost" || host.startsWith("127.") || host == "::1"
 
     private companion object {
-        private val PORTS = 0L..65_535L
-        private val PARTITIONS = 1L..4_096L
-        private val FLUSH_WINDOW_MILLIS = 0L..1_000L
-        private val SHUTDOWN_MILLIS = 0L..600_000L
+        /** User and password of a URL. */
+        private val CREDENTIALS = Regex("//[^/@]*@")
     }
 }
 
@@ -72,11 +99,13 @@
     val port: Int,
 ) {
     public companion object {
+        private val PORTS = 0..65_535
+
         /** The address in [text], which has the form host:port, or null. */
         public fun parse(text: String): SocketAddressText? {
             val host = text.substringBeforeLast(':', missingDelimiterValue = "")
             val port = text.substringAfterLast(':').toIntOrNull()
-            return if (host.isEmpty() || port == null) null else SocketAddressText(host, port)
+            return if (host.isEmpty() || port !in PORTS) null else SocketAddressText(host, checkNotNull(port))
         }
     }
 }
