Add the administration calls for workers, tasks and status, and guard them

Cause: operators could not see workers, list tasks, or learn why a task waits. Two faults were found on the way. The token was compared for the path as it was sent, while the router decodes it: GET //v1//profiles and /v1/%70rofiles reach the route and passed the check. And the handler of status 404 replaced the numbered error of every answer with that status, for example 104 for an unknown profile, by 113.

Ruled out: decoding the path a second time in the check; it has to follow every rule of the router.

Change: operators' calls hang under a guarded route; a call that no route takes has a route of its own. GET /v1/workers, /v1/tasks, /v1/tasks/{id}/why, /v1/status and /health; pages of 1 to 500; names and headers are checked.

--- a/entry/src/main/kotlin/org/greengagepass/entry/connection/AgentSession.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/connection/AgentSession.kt
@@ -17,6 +17,9 @@
     /** The agent process at the other end. */
     public val identity: AgentIdentity = AgentIdentity(hello.host, hello.incarnation)
 
+    /** The last heartbeat; null before the first. */
+    public var heartbeat: AgentMessage.Heartbeat? = null
+
     /** Sends [message]; false if the connection is closed or the agent does not read. */
     public fun send(message: EntryMessage): Boolean = connection.send(message)
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryAgentEvents.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryAgentEvents.kt
@@ -53,6 +53,7 @@
         heartbeat: AgentMessage.Heartbeat,
     ) {
         val partition = partitions.of(session.hello.host)
+        session.heartbeat = heartbeat
         runner.onHeartbeat(session, heartbeat)
         session.send(
             EntryMessage.HeartbeatAnswer(
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -26,12 +26,9 @@
 import org.greengagepass.core.version.ConfigurationRecord
 import org.greengagepass.entry.connection.AgentHub
 import org.greengagepass.entry.connection.PeerHub
-import org.greengagepass.entry.request.CallerRoutes
 import org.greengagepass.entry.request.RequestGateway
 import org.greengagepass.entry.request.RequestRunner
 import org.greengagepass.entry.request.ServicePolicies
-import org.greengagepass.entry.request.TaskRoutes
-import org.greengagepass.entry.version.AdministrationRoutes
 import org.greengagepass.entry.version.CONFIGURATION_STREAM
 import org.greengagepass.entry.version.ConfigurationService
 import org.greengagepass.entry.version.ConfigurationSource
@@ -73,14 +70,14 @@
             events = EntryPeerEvents(configuration, clock) { gateway.executeForwarded(it) },
         )
     private val gateway: RequestGateway = RequestGateway(runner, partitions, peers, clock)
+    private val parts = EntryParts(settings, configuration, partitions, hub, peers, runner)
+    private val status = EntryStatus(parts)
     private val selector = SelectorManager(Dispatchers.IO)
     private val agentListener = TcpListener(selector, settings.agentHost, settings.agentPort, hub::serve)
     private val peerListener = TcpListener(selector, settings.agentHost, settings.peerPort, peers::serve)
     private val http =
-        HttpServer(settings.httpHost, settings.httpPort, settings.token) {
-            AdministrationRoutes(configuration, decisions).install(this)
-            CallerRoutes(configuration, { gateway.execute(it) }, decisions, clock).install(this)
-            TaskRoutes(configuration, partitions, decisions, clock).install(this)
+        HttpServer(settings.httpHost, settings.httpPort) {
+            EntryRoutes(parts, status, gateway, decisions).install(this)
         }
     private val stopped = CompletableDeferred<Unit>()
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/CallerRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/CallerRoutes.kt
@@ -47,7 +47,7 @@
         val arrival = clock.now()
         val requestId = request.headers["Request-Id"] ?: UUID.randomUUID().toString()
         val accepted =
-            receiveJson(RequestBody.serializer()).flatMap { body ->
+            receiveChecked().flatMap { body ->
                 withContext(decisions) { profileOf(body) }.flatMap { profile ->
                     deadlineMillis(body, profile).map { deadlineMillis ->
                         CallerRequest(
@@ -70,6 +70,17 @@
         }
     }
 
+    private suspend fun ApplicationCall.receiveChecked(): Either<ApiError, RequestBody> =
+        checkHeaders("Request-Id", "Idempotency-Key")
+            .flatMap { receiveJson(RequestBody.serializer()) }
+            .flatMap { body ->
+                checkNames(
+                    "service" to parameters["service"].orEmpty(),
+                    "team" to body.team,
+                    "operation" to body.operation,
+                ).map { body }
+            }
+
     private suspend fun ApplicationCall.respondOutcome(
         outcome: RequestOutcome,
         requestId: String,
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/TaskRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/TaskRoutes.kt
@@ -73,7 +73,7 @@
 
     private suspend fun ApplicationCall.submit() {
         val result =
-            receiveJson(TaskBody.serializer()).flatMap { body ->
+            receiveChecked().flatMap { body ->
                 withContext(decisions) {
                     specificationOf(body).flatMap { specification ->
                         val deadline = clock.now().plusMillis(ANSWER_MILLIS)
@@ -84,6 +84,14 @@
         respondView(result)
     }
 
+    /** The idempotency key is the identifier of a task that has none, so that a repeat creates no second task. */
+    private suspend fun ApplicationCall.receiveChecked(): Either<ApiError, TaskBody> =
+        receiveJson(TaskBody.serializer())
+            .map { it.copy(taskId = it.taskId ?: request.headers["Idempotency-Key"] ?: UUID.randomUUID().toString()) }
+            .flatMap { body ->
+                checkNames("team" to body.team, "kind" to body.kind, "taskId" to body.taskId.orEmpty()).map { body }
+            }
+
     private suspend fun ApplicationCall.show() =
         respondView(withContext(decisions) { viewOf(TaskId(parameters["taskId"].orEmpty())) })
 
@@ -139,7 +147,7 @@
         ApiError(ResultCode.INVALID_VALUE, "milliCores and memoryMegabytes must be positive").left()
     } else {
         TaskSpecification(
-            taskId = TaskId(taskId ?: UUID.randomUUID().toString()),
+            taskId = TaskId(taskId.orEmpty()),
             team = TeamName(team),
             profile = ProfileName(profile),
             kind = WorkKind(kind),
@@ -149,7 +157,7 @@
     }
 }
 
-private fun Task.toView(): TaskView =
+internal fun Task.toView(): TaskView =
     TaskView(
         taskId = id.value,
         team = specification.team.value,
--- a/entry/src/main/kotlin/org/greengagepass/entry/version/AdministrationBodies.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/AdministrationBodies.kt
@@ -4,8 +4,10 @@
 package org.greengagepass.entry.version
 
 import kotlinx.serialization.Serializable
+import org.greengagepass.core.FencingToken
 import org.greengagepass.core.version.Priority
 import org.greengagepass.core.version.Profile
+import org.greengagepass.core.version.Quota
 import org.greengagepass.core.version.ServiceClass
 
 /** A profile to publish; [expectedVersion] is -1 for a new one. */
@@ -44,9 +46,11 @@
     val version: Long,
 )
 
-/** One page of a list; [next] is the name to continue after, if there is more. */
+/** The quota of [team] and the version that set it. */
 @Serializable
-public data class ListPage<T>(
-    val items: List<T>,
-    val next: String? = null,
+public data class QuotaView(
+    val team: String,
+    val quota: Quota,
+    val version: FencingToken,
+    val operator: String,
 )
--- a/entry/src/main/kotlin/org/greengagepass/entry/version/AdministrationRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/AdministrationRoutes.kt
@@ -5,7 +5,6 @@
 package org.greengagepass.entry.version
 
 import arrow.core.Either
-import arrow.core.EitherNel
 import arrow.core.flatMap
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.routing.Route
@@ -23,17 +22,18 @@
 import org.greengagepass.core.TeamName
 import org.greengagepass.core.version.ConfigurationRecord
 import org.greengagepass.core.version.ConfigurationValidation
-import org.greengagepass.core.version.ConfigurationView
 import org.greengagepass.core.version.FailureDomainStatus
 import org.greengagepass.core.version.Profile
 import org.greengagepass.core.version.PublishedProfile
-import org.greengagepass.core.version.PublishedQuota
 import org.greengagepass.core.version.Quota
-import org.greengagepass.core.version.ValidationFault
 import org.greengagepass.entry.request.ApiError
+import org.greengagepass.entry.request.checkHeaders
+import org.greengagepass.entry.request.pageRequest
 import org.greengagepass.entry.request.receiveJson
 import org.greengagepass.entry.request.respondError
 import org.greengagepass.entry.request.respondJson
+import org.greengagepass.entry.request.respondPage
+import org.greengagepass.entry.request.toApi
 import java.util.UUID
 
 /** Routes of the administration interface on [configuration], which runs on [decisions]. */
@@ -44,22 +44,28 @@
 ) {
     /** Adds the routes to [route]. */
     public fun install(route: Route) {
-        route.get(
-            "/v1/profiles",
-        ) { call.respondList(PublishedProfile.serializer(), configuration.view.profilesByName()) }
+        route.get("/v1/profiles") {
+            call.respondList(
+                PublishedProfile.serializer(),
+                configuration.view.profiles.values,
+            ) { it.profile.name.value }
+        }
         route.get("/v1/profiles/{name}") { call.respondProfile() }
         route.put("/v1/profiles/{name}") { call.publishProfile() }
         route.get("/v1/failure-domains") {
-            call.respondList(FailureDomainStatus.serializer(), configuration.view.statusByName())
+            call.respondList(
+                FailureDomainStatus.serializer(),
+                configuration.view.failureDomains.values,
+            ) { it.name.value }
         }
         route.post("/v1/failure-domains/{name}/out") { call.changeFailureDomain(isOut = true) }
         route.post("/v1/failure-domains/{name}/in") { call.changeFailureDomain(isOut = false) }
-        route.get("/v1/quotas") { call.respondList(PublishedQuota.serializer(), configuration.view.quotasByTeam()) }
+        route.get("/v1/quotas") { call.respondList(QuotaView.serializer(), quotas()) { it.team } }
         route.put("/v1/quotas/{name}") { call.setQuota() }
     }
 
     private suspend fun ApplicationCall.respondProfile() {
-        val profile = configuration.view.profilesByName()[name()]
+        val profile = configuration.view.profiles[ProfileName(name())]
         if (profile == null) {
             respondError(ApiError(ResultCode.NOT_FOUND, "there is no profile ${name()}"))
         } else {
@@ -128,7 +134,8 @@
         serializer: KSerializer<T>,
         toRecord: (T) -> Either<ApiError, ConfigurationRecord>,
     ) {
-        val record = receiveJson(serializer).flatMap(toRecord)
+        val headers = checkHeaders("Operator", "Idempotency-Key")
+        val record = headers.flatMap { receiveJson(serializer) }.flatMap(toRecord)
         val result = record.flatMap { withContext(decisions) { configuration.publish(it) } }
         when (result) {
             is Either.Left -> respondError(result.value)
@@ -136,21 +143,14 @@
         }
     }
 
+    private fun quotas(): List<QuotaView> =
+        configuration.view.quotas.map { (team, set) -> QuotaView(team.value, set.quota, set.version, set.operator) }
+
     private suspend fun <T> ApplicationCall.respondList(
         serializer: KSerializer<T>,
-        items: Map<String, T>,
-    ) {
-        val after = request.queryParameters["after"].orEmpty()
-        val limit = request.queryParameters["limit"]?.toIntOrNull() ?: PAGE_LENGTH_MAXIMUM
-        val names = items.keys.filter { it > after }.sorted()
-        val page = names.take(limit.coerceIn(1, PAGE_LENGTH_MAXIMUM))
-        val next = page.lastOrNull()?.takeIf { page.size < names.size }
-        respondJson(ListPage.serializer(serializer), ListPage(page.map { items.getValue(it) }, next))
-    }
-
-    private companion object {
-        private const val PAGE_LENGTH_MAXIMUM = 500
-    }
+        items: Collection<T>,
+        nameOf: (T) -> String,
+    ) = respondPage(serializer, pageRequest().map { it.of(items.asSequence(), nameOf) })
 }
 
 private fun ApplicationCall.name(): String = parameters["name"].orEmpty()
@@ -160,14 +160,6 @@
 private fun ApplicationCall.idempotencyKey(): String =
     request.headers["Idempotency-Key"] ?: UUID.randomUUID().toString()
 
-private fun <T> EitherNel<ValidationFault, T>.toApi(): Either<ApiError, T> =
-    mapLeft { faults ->
-        ApiError(
-            ResultCode.INVALID_VALUE,
-            faults.joinToString("; ") { "${it.field}: ${it.detail}" },
-        )
-    }
-
 private fun ProfileBody.toProfile(name: ProfileName): Profile =
     Profile(
         name = name,
@@ -185,9 +177,3 @@
         running = Resources(milliCores, memoryMegabytes, accelerators),
         requestsPerSecond = requestsPerSecond,
     )
-
-private fun ConfigurationView.profilesByName(): Map<String, PublishedProfile> = profiles.mapKeys { it.key.value }
-
-private fun ConfigurationView.quotasByTeam(): Map<String, PublishedQuota> = quotas.mapKeys { it.key.value }
-
-private fun ConfigurationView.statusByName(): Map<String, FailureDomainStatus> = failureDomains.mapKeys { it.key.value }
