Observe calls: metrics page, log lines with identifiers, spans for each hop

Cause: an operator could see neither latency nor refusals, and a request could not be followed over entry, peer and agent.

Change: GET /metrics by Micrometer; one JSON log line for each call with request, trace, task, failure domain and code; OpenTelemetry spans for caller to entry, entry to agent, entry to peer and entry from peer, exported by OTLP or written as log lines; the traceparent goes on in Dispatch and Forward.

--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryAgentEvents.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryAgentEvents.kt
@@ -3,6 +3,7 @@
  */
 package org.greengagepass.entry.process
 
+import org.greengagepass.core.process.ReleaseReason
 import org.greengagepass.entry.connection.AgentEvents
 import org.greengagepass.entry.connection.AgentSession
 import org.greengagepass.entry.request.RequestRunner
@@ -10,6 +11,7 @@
 import org.greengagepass.protocol.connection.AgentMessage
 import org.greengagepass.protocol.connection.EntryMessage
 import org.greengagepass.protocol.connection.PROTOCOL_VERSION
+import org.greengagepass.protocol.connection.TaskChange
 
 /** Passes the messages of agents on to the parts of the process that they concern. */
 public class EntryAgentEvents(
@@ -17,6 +19,7 @@
     private val configuration: ConfigurationService,
     private val runner: RequestRunner,
     private val partitions: Partitions,
+    private val metrics: EntryMetrics,
 ) : AgentEvents {
     override fun welcome(session: AgentSession): EntryMessage.Welcome =
         EntryMessage.Welcome(
@@ -38,7 +41,7 @@
             is AgentMessage.Heartbeat -> onHeartbeat(session, message)
             is AgentMessage.RequestAnswer -> runner.onAnswer(session, message)
             is AgentMessage.InquiryAnswer -> runner.onInquiryAnswer(session, message)
-            is AgentMessage.TaskEvent -> partitions.of(session.hello.host).onTaskEvent(session, message)
+            is AgentMessage.TaskEvent -> onTaskEvent(session, message)
             is AgentMessage.Goodbye -> session.close()
             is AgentMessage.Hello -> Unit
         }
@@ -48,6 +51,15 @@
         runner.onDisconnected(session)
     }
 
+    private fun onTaskEvent(
+        session: AgentSession,
+        event: AgentMessage.TaskEvent,
+    ) {
+        val change = event.change
+        if (change is TaskChange.Stopped && change.reason == ReleaseReason.EVICTED) metrics.evicted(event.token)
+        partitions.of(session.hello.host).onTaskEvent(session, event)
+    }
+
     private fun onHeartbeat(
         session: AgentSession,
         heartbeat: AgentMessage.Heartbeat,
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -54,12 +54,14 @@
         ) { sequence, records ->
             BatchCodec.CONFIGURATION.encode(ConfigurationBatch(settings.entryId.value, sequence, records))
         }
+    private val tracing = Tracing.of(settings)
+    private val metrics = EntryMetrics()
     private val policies = ServicePolicies(settings.entryId, settings.failureDomain)
-    private val runner = RequestRunner(policies, clock) { hub[it] }
+    private val runner = RequestRunner(policies, clock, tracing) { hub[it] }
     private val configuration =
         ConfigurationService(configurationAppender) { policies.failureDomainsOut = it.failureDomainsOut }
     private val partitions = Partitions((0 until settings.partitions).map(::partition))
-    private val hub: AgentHub = AgentHub(scope, EntryAgentEvents(settings, configuration, runner, partitions))
+    private val hub: AgentHub = AgentHub(scope, EntryAgentEvents(settings, configuration, runner, partitions, metrics))
     private val peers: PeerHub =
         PeerHub(
             self = settings.entryId,
@@ -69,15 +71,19 @@
             clock = clock,
             events = EntryPeerEvents(configuration, clock) { gateway.executeForwarded(it) },
         )
-    private val gateway: RequestGateway = RequestGateway(runner, partitions, peers, clock)
+    private val gateway: RequestGateway = RequestGateway(runner, partitions, peers, clock, tracing)
     private val parts = EntryParts(settings, configuration, partitions, hub, peers, runner)
     private val status = EntryStatus(parts)
     private val selector = SelectorManager(Dispatchers.IO)
     private val agentListener = TcpListener(selector, settings.agentHost, settings.agentPort, hub::serve)
     private val peerListener = TcpListener(selector, settings.agentHost, settings.peerPort, peers::serve)
     private val http =
-        HttpServer(settings.httpHost, settings.httpPort) {
-            EntryRoutes(parts, status, gateway, decisions).install(this)
+        HttpServer(
+            settings.httpHost,
+            settings.httpPort,
+            CallObservation(settings.failureDomain.value, tracing, metrics),
+        ) {
+            EntryRoutes(parts, status, gateway, metrics, decisions).install(this)
         }
     private val stopped = CompletableDeferred<Unit>()
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryRoutes.kt
@@ -17,17 +17,19 @@
     private val parts: EntryParts,
     private val status: EntryStatus,
     private val requests: RequestService,
+    private val metrics: EntryMetrics,
     private val decisions: CoroutineDispatcher,
 ) {
     /** Adds all routes to [route]. */
     public fun install(route: Route) {
         val configuration = parts.configuration
         val tasks = TaskListRoutes(configuration, parts.partitions, parts.hub, decisions, parts.clock)
-        val statusRoutes = StatusRoutes(status, decisions)
+        val statusRoutes = StatusRoutes(status, metrics, decisions)
         CallerRoutes(configuration, requests, decisions, parts.clock).install(route)
         TaskRoutes(configuration, parts.partitions, decisions, parts.clock).install(route)
         tasks.installForCallers(route)
         statusRoutes.installHealth(route)
+        statusRoutes.installMetrics(route)
         route.operatorRoutes(parts.settings.token) {
             AdministrationRoutes(configuration, decisions).install(this)
             WorkerRoutes(parts.hub, decisions) { configuration.view.isOut(it) }.install(this)
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryStatus.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryStatus.kt
@@ -7,6 +7,7 @@
 import org.greengagepass.entry.connection.AgentHub
 import org.greengagepass.entry.connection.PeerHub
 import org.greengagepass.entry.request.RequestRunner
+import org.greengagepass.entry.request.stateName
 import org.greengagepass.entry.version.ConfigurationService
 
 /** A partition as an entry sees it. [queueLength] counts records that wait to be appended or read back. */
@@ -94,6 +95,22 @@
         )
     }
 
+    /** The state now, for the page of metrics. */
+    public fun sample(): MetricsSample =
+        MetricsSample(
+            status = view(),
+            tasksByState =
+                parts.partitions.all
+                    .flatMap { it.tasks.all }
+                    .groupingBy { stateName(it.state) }
+                    .eachCount(),
+            queueLengthByService =
+                parts.hub.all
+                    .flatMap { it.heartbeat?.services.orEmpty() }
+                    .groupingBy { it.service.value }
+                    .fold(0) { sum, state -> sum + state.queueLength },
+        )
+
     private fun statusOf(
         number: Int,
         partition: PartitionService,
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/HttpServer.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/HttpServer.kt
@@ -24,6 +24,7 @@
 public class HttpServer(
     private val host: String,
     private val port: Int,
+    private val observation: CallObservation,
     private val installRoutes: Route.() -> Unit,
 ) {
     private lateinit var server: EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration>
@@ -32,6 +33,7 @@
     public suspend fun start(): Int {
         server =
             embeddedServer(CIO, host = host, port = port) {
+                observation.install(this)
                 install(StatusPages) {
                     exception<Throwable> { call, cause -> call.respondInternal(cause) }
                 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/StatusRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/StatusRoutes.kt
@@ -3,6 +3,7 @@
  */
 package org.greengagepass.entry.process
 
+import io.ktor.http.ContentType
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
@@ -14,6 +15,7 @@
 /** Routes that read [status] on [decisions]. */
 public class StatusRoutes(
     private val status: EntryStatus,
+    private val metrics: EntryMetrics,
     private val decisions: CoroutineDispatcher,
 ) {
     /** Adds the operators' route to [route]. */
@@ -23,6 +25,14 @@
         }
     }
 
+    /** Adds the page of metrics to [route]. */
+    public fun installMetrics(route: Route) {
+        route.get("/metrics") {
+            val sample = withContext(decisions) { status.sample() }
+            call.respondText(metrics.page(sample), PROMETHEUS_TEXT)
+        }
+    }
+
     /** Adds the health checks, which need no token, to [route]. */
     public fun installHealth(route: Route) {
         route.get("/health/live") { call.respondText("live\n") }
@@ -36,4 +46,8 @@
             }
         }
     }
+
+    private companion object {
+        private val PROMETHEUS_TEXT = ContentType.parse("text/plain; version=0.0.4; charset=utf-8")
+    }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/ApiResult.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/ApiResult.kt
@@ -91,10 +91,12 @@
         -> HttpStatusCode.InternalServerError
     }
 
-private fun outcomeName(code: ResultCode): String =
+/** What [code] says of whether the work ran: ok, notRun, ran or unknown. */
+public fun outcomeName(code: ResultCode): String =
     when {
+        code == ResultCode.OK -> "ok"
         code.provesNotRun -> "notRun"
-        code.httpStatus() == HttpStatusCode.GatewayTimeout -> "unknown"
+        code.httpStatus() == HttpStatusCode.GatewayTimeout || code == ResultCode.INTERNAL -> "unknown"
         else -> "ran"
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/CallerRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/CallerRoutes.kt
@@ -45,7 +45,8 @@
 
     private suspend fun ApplicationCall.executeRequest() {
         val arrival = clock.now()
-        val requestId = request.headers["Request-Id"] ?: UUID.randomUUID().toString()
+        val requestId = record?.requestId ?: UUID.randomUUID().toString()
+        record?.service = parameters["service"]
         val accepted =
             receiveChecked().flatMap { body ->
                 withContext(decisions) { profileOf(body) }.flatMap { profile ->
@@ -53,7 +54,7 @@
                         CallerRequest(
                             requestId = RequestId(requestId),
                             idempotencyKey = request.headers["Idempotency-Key"],
-                            traceparent = request.headers["traceparent"].orEmpty(),
+                            traceparent = record?.span?.traceparent.orEmpty(),
                             team = TeamName(body.team),
                             service = ServiceName(parameters["service"].orEmpty()),
                             operation = WorkKind(body.operation),
@@ -85,6 +86,7 @@
         outcome: RequestOutcome,
         requestId: String,
     ) {
+        record?.code = outcome.code
         respondJson(ApiResult.serializer(), outcome.toResult(requestId), outcome.code.httpStatus())
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/RequestGateway.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/RequestGateway.kt
@@ -4,6 +4,7 @@
  */
 package org.greengagepass.entry.request
 
+import io.opentelemetry.api.trace.SpanKind
 import org.greengagepass.core.RequestId
 import org.greengagepass.core.ResultCode
 import org.greengagepass.core.Timestamp
@@ -13,6 +14,7 @@
 import org.greengagepass.entry.connection.PeerHub
 import org.greengagepass.entry.process.MonotonicClock
 import org.greengagepass.entry.process.Partitions
+import org.greengagepass.entry.process.Tracing
 import org.greengagepass.protocol.connection.PeerMessage
 import java.security.MessageDigest
 import java.util.HexFormat
@@ -24,6 +26,7 @@
     private val partitions: Partitions,
     private val peers: PeerHub,
     private val clock: MonotonicClock,
+    private val tracing: Tracing,
 ) : RequestService {
     override suspend fun execute(request: CallerRequest): RequestOutcome =
         when (request.profile.serviceClass) {
@@ -38,7 +41,10 @@
     /** Carries out a request that another entry forwarded; it is not forwarded again. */
     public suspend fun executeForwarded(forward: PeerMessage.Forward): RequestOutcome {
         val request = forward.toRequest(clock.now().plusMillis(forward.remainingMillis))
-        return executeOwned(request, RequestKey(forward.team, forward.idempotencyKey))
+        val attributes = mapOf("requestId" to forward.requestId.value)
+        return traced("entry from peer", SpanKind.SERVER, request, attributes) {
+            executeOwned(it, RequestKey(forward.team, forward.idempotencyKey))
+        }
     }
 
     private suspend fun executeAtMostOnce(request: CallerRequest): RequestOutcome {
@@ -49,7 +55,9 @@
         return if (partition.isOwned || owner == null) {
             executeOwned(request, key)
         } else {
-            peers.forward(owner, request.toForward(key))
+            traced("entry to peer", SpanKind.CLIENT, request, mapOf("peer" to owner.value)) {
+                peers.forward(owner, it.toForward(key))
+            }
         }
     }
 
@@ -58,6 +66,22 @@
         key: RequestKey,
     ): RequestOutcome = partitions.of(key).execute(request, key, digestOf(request))
 
+    private suspend fun traced(
+        name: String,
+        kind: SpanKind,
+        request: CallerRequest,
+        attributes: Map<String, String>,
+        execute: suspend (CallerRequest) -> RequestOutcome,
+    ): RequestOutcome {
+        val span = tracing.start(name, kind, request.traceparent, attributes)
+        var code = ResultCode.INTERNAL
+        try {
+            return execute(request.copy(traceparent = span.traceparent)).also { code = it.code }
+        } finally {
+            span.end(code)
+        }
+    }
+
     private fun digestOf(request: CallerRequest): String {
         val content = listOf(request.service.value, request.operation.value, request.body).joinToString("\u0000")
         return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content.encodeToByteArray()))
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/RequestRunner.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/RequestRunner.kt
@@ -15,6 +15,7 @@
 import org.greengagepass.core.request.RequestOutcome
 import org.greengagepass.entry.connection.AgentSession
 import org.greengagepass.entry.process.MonotonicClock
+import org.greengagepass.entry.process.Tracing
 import org.greengagepass.protocol.connection.AgentMessage
 import org.greengagepass.protocol.connection.EntryMessage
 import java.util.UUID
@@ -26,9 +27,11 @@
 public class RequestRunner(
     private val policies: ServicePolicies,
     private val clock: MonotonicClock,
+    tracing: Tracing,
     private val sessionOf: (HostId) -> AgentSession?,
 ) : RequestService {
     private val core = EntryRequests(Random.Default, policies::of)
+    private val spans = AttemptSpans(tracing)
     private val waiting = HashMap<RequestId, WaitingCaller>()
 
     /** Number of requests without an outcome. */
@@ -63,6 +66,7 @@
         session: AgentSession,
         message: AgentMessage.RequestAnswer,
     ) {
+        spans.answered(message.requestId, message.outcome.code)
         carryOut(core.answered(message.requestId, session.identity, message.outcome, clock.now()))
     }
 
@@ -92,7 +96,11 @@
         actions.forEach { action ->
             when (action) {
                 is EntryAction.Dispatch -> dispatch(action)
-                is EntryAction.Answer -> waiting.remove(action.requestId)?.outcome?.complete(action.outcome)
+                is EntryAction.Answer -> {
+                    spans.requestEnded(action.requestId, action.outcome.code)
+                    waiting.remove(action.requestId)?.outcome?.complete(action.outcome)
+                }
+
                 is EntryAction.Inquire ->
                     sessionOf(action.agent.host)?.send(EntryMessage.Inquire(action.inquiries))
             }
@@ -102,8 +110,10 @@
     private fun dispatch(action: EntryAction.Dispatch) {
         val caller = waiting[action.request.requestId] ?: return
         val session = sessionOf(action.agent.host)?.takeIf { it.identity == action.agent }
-        val isSent = session?.send(caller.request.toDispatch(action)) == true
+        val traceparent = spans.start(action, caller.request.traceparent)
+        val isSent = session?.send(caller.request.toDispatch(action, traceparent)) == true
         if (!isSent) {
+            spans.answered(action.attempt.wireId, NOT_SENT.code)
             logger.warn("dispatch {} to {} was not sent", action.attempt.wireId.value, action.agent.host.value)
             carryOut(core.answered(action.attempt.wireId, action.agent, NOT_SENT, clock.now()))
         }
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/RequestTranslation.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/RequestTranslation.kt
@@ -21,7 +21,10 @@
     )
 
 /** This request as a message for the agent that [action] names. */
-internal fun CallerRequest.toDispatch(action: EntryAction.Dispatch): EntryMessage.Dispatch =
+internal fun CallerRequest.toDispatch(
+    action: EntryAction.Dispatch,
+    traceparent: String,
+): EntryMessage.Dispatch =
     EntryMessage.Dispatch(
         requestId = action.attempt.wireId,
         traceparent = traceparent,
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/Responses.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/Responses.kt
@@ -23,5 +23,6 @@
     error: ApiError,
     requestId: String? = null,
 ) {
-    respondJson(ApiResult.serializer(), error.toResult(requestId), error.code.httpStatus())
+    record?.code = error.code
+    respondJson(ApiResult.serializer(), error.toResult(requestId ?: record?.requestId), error.code.httpStatus())
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/TaskListRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/TaskListRoutes.kt
@@ -60,6 +60,7 @@
 
     private suspend fun ApplicationCall.why() {
         val taskId = TaskId(parameters["taskId"].orEmpty())
+        record?.taskId = taskId.value
         val view =
             withContext(decisions) {
                 val partition = partitions.of(taskId)
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/TaskRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/TaskRoutes.kt
@@ -88,20 +88,23 @@
     private suspend fun ApplicationCall.receiveChecked(): Either<ApiError, TaskBody> =
         receiveJson(TaskBody.serializer())
             .map { it.copy(taskId = it.taskId ?: request.headers["Idempotency-Key"] ?: UUID.randomUUID().toString()) }
+            .onRight { record?.taskId = it.taskId }
             .flatMap { body ->
                 checkNames("team" to body.team, "kind" to body.kind, "taskId" to body.taskId.orEmpty()).map { body }
             }
 
-    private suspend fun ApplicationCall.show() =
-        respondView(withContext(decisions) { viewOf(TaskId(parameters["taskId"].orEmpty())) })
+    private suspend fun ApplicationCall.show() = respondView(withContext(decisions) { viewOf(namedTask()) })
 
     private suspend fun ApplicationCall.cancel() {
-        val taskId = TaskId(parameters["taskId"].orEmpty())
+        val taskId = namedTask()
         val deadline = clock.now().plusMillis(ANSWER_MILLIS)
         val result = withContext(decisions) { partitions.of(taskId).cancel(taskId, deadline).toView(taskId) }
         respondView(result)
     }
 
+    private fun ApplicationCall.namedTask(): TaskId =
+        TaskId(parameters["taskId"].orEmpty()).also { record?.taskId = it.value }
+
     private suspend fun ApplicationCall.respondView(result: Either<ApiError, TaskView>) {
         when (result) {
             is Either.Left -> respondError(result.value)
