--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -27,12 +27,9 @@
 import org.greengagepass.entry.connection.AgentHub
 import org.greengagepass.entry.connection.PeerHub
 import org.greengagepass.entry.connection.PeerServer
-import org.greengagepass.entry.request.CallerRoutes
 import org.greengagepass.entry.request.RequestGateway
 import org.greengagepass.entry.request.RequestRunner
 import org.greengagepass.entry.request.ServicePolicies
-import org.greengagepass.entry.request.TaskRoutes
-import org.greengagepass.entry.version.AdministrationRoutes
 import org.greengagepass.entry.version.CONFIGURATION_STREAM
 import org.greengagepass.entry.version.ConfigurationService
 import org.greengagepass.entry.version.ConfigurationSnapshots
@@ -59,13 +56,15 @@
         ) { sequence, records ->
             BatchCodec.CONFIGURATION.encode(ConfigurationBatch(settings.entryId.value, sequence, records))
         }
+    private val tracing = Tracing.of(settings)
+    private val metrics = EntryMetrics()
     private val policies = ServicePolicies(settings.entryId, settings.failureDomain)
-    private val runner = RequestRunner(policies, clock) { hub[it] }
+    private val runner = RequestRunner(policies, clock, tracing) { hub[it] }
     private val configuration =
         ConfigurationService(configurationAppender) { policies.failureDomainsOut = it.failureDomainsOut }
     private val configurationSnapshots = ConfigurationSnapshots(log, settings.logRetentionMillis)
     private val partitions = Partitions((0 until settings.partitions).map(::partition))
-    private val hub: AgentHub = AgentHub(scope, EntryAgentEvents(settings, configuration, runner, partitions))
+    private val hub: AgentHub = AgentHub(scope, EntryAgentEvents(settings, configuration, runner, partitions, metrics))
     private val peerEvents = EntryPeerEvents(configuration, clock) { gateway.executeForwarded(it) }
     private val peerServer = PeerServer(settings.entryId, scope, peerEvents)
     private val peers: PeerHub =
@@ -77,15 +76,19 @@
             clock = clock,
             events = peerEvents,
         )
-    private val gateway: RequestGateway = RequestGateway(runner, partitions, peers, clock)
+    private val gateway: RequestGateway = RequestGateway(runner, partitions, peers, clock, tracing)
+    private val parts = EntryParts(settings, configuration, partitions, hub, peers, runner)
+    private val status = EntryStatus(parts)
     private val selector = SelectorManager(Dispatchers.IO)
     private val agentListener = TcpListener(selector, settings.agentHost, settings.agentPort, hub::serve)
     private val peerListener = TcpListener(selector, settings.agentHost, settings.peerPort, peerServer::serve)
     private val http =
-        HttpServer(settings.httpHost, settings.httpPort, settings.token) {
-            AdministrationRoutes(configuration, decisions).install(this)
-            CallerRoutes(configuration, { gateway.execute(it) }, decisions, clock).install(this)
-            TaskRoutes(configuration, partitions, decisions, clock).install(this)
+        HttpServer(
+            settings.httpHost,
+            settings.httpPort,
+            CallObservation(settings.failureDomain.value, tracing, metrics),
+        ) {
+            EntryRoutes(parts, status, gateway, metrics, decisions).install(this)
         }
     private val stopped = CompletableDeferred<Unit>()
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionService.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionService.kt
@@ -18,6 +18,7 @@
 import org.greengagepass.core.process.PartitionState
 import org.greengagepass.core.process.RequestKey
 import org.greengagepass.core.process.TaskSpecification
+import org.greengagepass.core.process.TaskTable
 import org.greengagepass.core.request.RequestOutcome
 import org.greengagepass.entry.connection.AgentSession
 import org.greengagepass.entry.connection.toOwnerInput
@@ -36,10 +37,17 @@
     private val snapshots = PartitionSnapshots(surroundings.log, stream)
     private var loop: OwnerLoop? = null
 
-    /** The partition as far as its stream has been read; null before the newest snapshot is read. */
-    public val owner: PartitionOwner?
+    private val owner: PartitionOwner?
         get() = loop?.owner
 
+    /** The tasks as far as the stream has been read; none before the newest snapshot is read. */
+    public val tasks: TaskTable
+        get() = owner?.state?.tasks ?: NO_TASKS
+
+    /** Number of records that wait to be appended or read back. */
+    public val queueLength: Int
+        get() = owner?.queueLength ?: 0
+
     /** True if this entry schedules the partition. */
     public val isOwned: Boolean
         get() = owner?.ownedEpoch != null
@@ -152,6 +160,7 @@
     private companion object {
         private val logger = LogManager.getLogger(PartitionService::class.java)
         private const val RESTORE_DELAY_MILLIS = 500L
+        private val NO_TASKS = PartitionState().tasks
         private val NOT_READ =
             RequestOutcome.NotRun(ResultCode.LOG_UNAVAILABLE, "the partition has not been read from the log yet")
     }
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/CallerRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/CallerRoutes.kt
@@ -45,15 +45,16 @@
 
     private suspend fun ApplicationCall.executeRequest() {
         val arrival = clock.now()
-        val requestId = request.headers["Request-Id"] ?: UUID.randomUUID().toString()
+        val requestId = record?.requestId ?: UUID.randomUUID().toString()
+        record?.service = parameters["service"]
         val accepted =
-            receiveJson(RequestBody.serializer()).flatMap { body ->
+            receiveChecked().flatMap { body ->
                 withContext(decisions) { profileOf(body) }.flatMap { profile ->
                     deadlineMillis(body, profile).map { deadlineMillis ->
                         CallerRequest(
                             requestId = RequestId(requestId),
                             idempotencyKey = request.headers["Idempotency-Key"],
-                            traceparent = request.headers["traceparent"].orEmpty(),
+                            traceparent = record?.span?.traceparent.orEmpty(),
                             team = TeamName(body.team),
                             service = ServiceName(parameters["service"].orEmpty()),
                             operation = WorkKind(body.operation),
@@ -70,10 +71,22 @@
         }
     }
 
+    private suspend fun ApplicationCall.receiveChecked(): Either<ApiError, RequestBody> =
+        checkHeaders("Request-Id", "Idempotency-Key")
+            .flatMap { receiveJson(RequestBody.serializer()) }
+            .flatMap { body ->
+                checkNames(
+                    "service" to parameters["service"].orEmpty(),
+                    "team" to body.team,
+                    "operation" to body.operation,
+                ).map { body }
+            }
+
     private suspend fun ApplicationCall.respondOutcome(
         outcome: RequestOutcome,
         requestId: String,
     ) {
+        record?.code = outcome.code
         respondJson(ApiResult.serializer(), outcome.toResult(requestId), outcome.code.httpStatus())
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/RequestGateway.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/RequestGateway.kt
@@ -4,6 +4,7 @@
  */
 package org.greengagepass.entry.request
 
+import io.opentelemetry.api.trace.SpanKind
 import kotlinx.coroutines.delay
 import org.greengagepass.core.RequestId
 import org.greengagepass.core.ResultCode
@@ -14,6 +15,7 @@
 import org.greengagepass.entry.connection.PeerHub
 import org.greengagepass.entry.process.MonotonicClock
 import org.greengagepass.entry.process.Partitions
+import org.greengagepass.entry.process.Tracing
 import org.greengagepass.protocol.connection.PeerMessage
 import java.security.MessageDigest
 import java.util.HexFormat
@@ -25,6 +27,7 @@
     private val partitions: Partitions,
     private val peers: PeerHub,
     private val clock: MonotonicClock,
+    private val tracing: Tracing,
 ) : RequestService {
     override suspend fun execute(request: CallerRequest): RequestOutcome =
         when (request.profile.serviceClass) {
@@ -42,7 +45,10 @@
      */
     public suspend fun executeForwarded(forward: PeerMessage.Forward): RequestOutcome? {
         val request = forward.toRequest(clock.now().plusMillis(forward.remainingMillis))
-        return executeOwned(request, RequestKey(forward.team, forward.idempotencyKey))
+        val attributes = mapOf("requestId" to forward.requestId.value)
+        return traced("entry from peer", SpanKind.SERVER, request, attributes) {
+            executeOwned(it, RequestKey(forward.team, forward.idempotencyKey))
+        }
     }
 
     /**
@@ -68,7 +74,10 @@
         return when {
             partition.isOwned -> executeOwned(request, key)
             owner == null -> null
-            else -> peers.forward(owner, request.toForward(key))
+            else ->
+                traced("entry to peer", SpanKind.CLIENT, request, mapOf("peer" to owner.value)) {
+                    peers.forward(owner, it.toForward(key))
+                }
         }
     }
 
@@ -77,6 +86,24 @@
         key: RequestKey,
     ): RequestOutcome? = partitions.of(key).execute(request, key, digestOf(request))
 
+    private suspend fun traced(
+        name: String,
+        kind: SpanKind,
+        request: CallerRequest,
+        attributes: Map<String, String>,
+        execute: suspend (CallerRequest) -> RequestOutcome?,
+    ): RequestOutcome? {
+        val span = tracing.start(name, kind, request.traceparent, attributes)
+        var code = ResultCode.INTERNAL
+        try {
+            return execute(
+                request.copy(traceparent = span.traceparent),
+            ).also { code = it?.code ?: ResultCode.OWNER_LOST }
+        } finally {
+            span.end(code)
+        }
+    }
+
     private fun digestOf(request: CallerRequest): String {
         val content = listOf(request.service.value, request.operation.value, request.body).joinToString("\u0000")
         return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content.encodeToByteArray()))
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/TaskRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/TaskRoutes.kt
@@ -73,7 +73,7 @@
 
     private suspend fun ApplicationCall.submit() {
         val result =
-            receiveJson(TaskBody.serializer()).flatMap { body ->
+            receiveChecked().flatMap { body ->
                 withContext(decisions) {
                     specificationOf(body).flatMap { specification ->
                         val deadline = clock.now().plusMillis(ANSWER_MILLIS)
@@ -84,16 +84,27 @@
         respondView(result)
     }
 
-    private suspend fun ApplicationCall.show() =
-        respondView(withContext(decisions) { viewOf(TaskId(parameters["taskId"].orEmpty())) })
+    /** The idempotency key is the identifier of a task that has none, so that a repeat creates no second task. */
+    private suspend fun ApplicationCall.receiveChecked(): Either<ApiError, TaskBody> =
+        receiveJson(TaskBody.serializer())
+            .map { it.copy(taskId = it.taskId ?: request.headers["Idempotency-Key"] ?: UUID.randomUUID().toString()) }
+            .onRight { record?.taskId = it.taskId }
+            .flatMap { body ->
+                checkNames("team" to body.team, "kind" to body.kind, "taskId" to body.taskId.orEmpty()).map { body }
+            }
+
+    private suspend fun ApplicationCall.show() = respondView(withContext(decisions) { viewOf(namedTask()) })
 
     private suspend fun ApplicationCall.cancel() {
-        val taskId = TaskId(parameters["taskId"].orEmpty())
+        val taskId = namedTask()
         val deadline = clock.now().plusMillis(ANSWER_MILLIS)
         val result = withContext(decisions) { partitions.of(taskId).cancel(taskId, deadline).toView(taskId) }
         respondView(result)
     }
 
+    private fun ApplicationCall.namedTask(): TaskId =
+        TaskId(parameters["taskId"].orEmpty()).also { record?.taskId = it.value }
+
     private suspend fun ApplicationCall.respondView(result: Either<ApiError, TaskView>) {
         when (result) {
             is Either.Left -> respondError(result.value)
@@ -123,10 +134,7 @@
     private fun viewOf(taskId: TaskId): Either<ApiError, TaskView> =
         partitions
             .of(taskId)
-            .owner
-            ?.state
-            ?.tasks
-            ?.get(taskId)
+            .tasks[taskId]
             ?.toView()
             ?.right()
             ?: ApiError(ResultCode.NOT_FOUND, "there is no task ${taskId.value}").left()
@@ -143,7 +151,7 @@
         ApiError(ResultCode.INVALID_VALUE, "milliCores and memoryMegabytes must be positive").left()
     } else {
         TaskSpecification(
-            taskId = TaskId(taskId ?: UUID.randomUUID().toString()),
+            taskId = TaskId(taskId.orEmpty()),
             team = TeamName(team),
             profile = ProfileName(profile),
             kind = WorkKind(kind),
@@ -153,7 +161,7 @@
     }
 }
 
-private fun Task.toView(): TaskView =
+internal fun Task.toView(): TaskView =
     TaskView(
         taskId = id.value,
         team = specification.team.value,
