--- a/benchmark/src/main/kotlin/org/greengagepass/benchmark/SimulatedFleet.kt
+++ b/benchmark/src/main/kotlin/org/greengagepass/benchmark/SimulatedFleet.kt
@@ -46,9 +46,18 @@
     }
 }
 
+/** What all hosts of a run share. */
+internal data class RunSettings(
+    val deployment: Deployment,
+    /** True if colocation is controlled. */
+    val controls: Boolean,
+    /** Multiplies the slowdown of services by batch work. */
+    val interference: Double,
+)
+
 /** Hosts and tasks. [isIn] tells whether a host's failure domain is in service. */
 internal class SimulatedFleet(
-    deployment: Deployment,
+    private val settings: RunSettings,
     private val knowledge: PlacementKnowledge,
     private val agenda: Agenda,
     private val result: RunResult,
@@ -57,7 +66,7 @@
     private val now: Long
         get() = agenda.now
 
-    val hosts = List(Deployment.HOSTS) { SimulatedHost(it, deployment) }
+    val hosts = List(Deployment.HOSTS) { SimulatedHost(it, settings.deployment, settings.interference) }
     val tasks = LinkedHashMap<TaskId, SimulatedTask>()
     private val hostsById = hosts.associateBy { it.id }
 
@@ -110,6 +119,7 @@
             return
         }
         task.progressFromMillis = now + START_MILLIS
+        if (settings.controls) throttleAtStart(task, host)
         if (task.exceedsLimit) {
             agenda.later(LIMIT_MILLIS) {
                 if (task.attempt == attempt) release(task, keepsProgress = false, exceeded = attempt.limit)
@@ -117,6 +127,17 @@
         }
     }
 
+    private fun throttleAtStart(
+        task: SimulatedTask,
+        host: SimulatedHost,
+    ) {
+        val colocated = task.colocated(settings.deployment.host.milliCores)
+        val throttle = knowledge.colocation.starting(host.id, colocated, Timestamp(now)) ?: return
+        task.permille = throttle.permille
+        result.throttles++
+        knowledge.colocation.tookEffect(throttle, Timestamp(now))
+    }
+
     private fun release(
         task: SimulatedTask,
         keepsProgress: Boolean,
--- a/core/src/main/kotlin/org/greengagepass/core/process/ColocationController.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/ColocationController.kt
@@ -73,19 +73,37 @@
     private val model: InterferenceModel = InterferenceModel(),
 ) {
     private val hosts = HashMap<HostId, HostControl>()
+    private val relief = InterferenceRelief(model)
 
     /** True while [host] is over an objective or an action on it is under way; placement avoids it then. */
-    public fun isUnderPressure(host: HostId): Boolean = hosts[host]?.let { it.excess > 0 || it.pending != null } == true
+    public fun isUnderPressure(host: HostId): Boolean = hosts[host]?.let { it.excess > 0 || it.hasPending } == true
 
     /** [action] took effect [at] a moment of the owner's clock. Only evidence measured from then on counts. */
     public fun tookEffect(
         action: ColocationAction,
         at: Timestamp,
     ) {
-        val control = hosts[action.host] ?: return
-        if (control.lastAction != action) return
-        control.pending = null
-        control.evidenceFrom = maxOf(control.evidenceFrom, at)
+        hosts[action.host]?.tookEffect(action, at)
+    }
+
+    /**
+     * Decides whether [task], which is about to start on [host], starts throttled: it does if the model is sure that
+     * its kind would put a service over the objective.
+     */
+    public fun starting(
+        host: HostId,
+        task: ColocatedTask,
+        now: Timestamp,
+    ): ColocationAction.Throttle? {
+        val control = hosts[host]
+        val last = control?.last
+        if (control == null || last == null) return null
+        val permille = if (task.throttleable) relief.startingPermille(task, last, control.started) else FULL_PERMILLE
+        control.started += relief.expectedSlowdown(task, last) * permille / FULL_PERMILLE
+        return ColocationAction
+            .Throttle(host, task.taskId, permille)
+            .takeIf { permille < FULL_PERMILLE }
+            ?.also { control.began(it, now) }
     }
 
     /** Takes [observation] into account and decides on at most one action. */
@@ -94,10 +112,12 @@
         now: Timestamp,
     ): ColocationAction? {
         val control = hosts.getOrPut(observation.host) { HostControl() }
-        control.forgetGone(observation.tasks)
         control.giveUpPending(now)
-        if (control.pending != null || observation.windowStart < control.evidenceFrom) return null
+        if (control.hasPending || observation.windowStart < control.evidenceFrom) return null
         control.evidenceFrom = observation.windowEnd
+        control.last = observation
+        control.started = 0.0
+        control.forgetGone(observation.tasks)
         learn(observation)
         val action =
             when (levelOf(observation)) {
@@ -134,54 +154,55 @@
             else -> Level.BETWEEN
         }
 
+    /** Throttles the worst suspect; if the excess lasts, evicts the suspect with the least lost work, and so on. */
     private fun relieve(
         control: HostControl,
         observation: HostObservation,
     ): ColocationAction? {
         if (control.excess < EXCESS_WINDOWS) return null
-        val suspects = observation.tasks.filter { suspicion(it, observation) >= SUSPICION_MINIMUM }
+        val suspects = relief.suspects(observation)
         val throttled =
             suspects
-                .filter { it.throttleable && it.taskId !in control.throttled }
-                .maxByOrNull { suspicion(it, observation) }
-                ?.let { ColocationAction.Throttle(observation.host, it.taskId, THROTTLE_PERMILLE) }
+                .firstOrNull { it.throttleable && it.taskId !in control.throttled }
+                ?.let { ColocationAction.Throttle(observation.host, it.taskId, relief.permille(it, observation)) }
         val evicted =
             suspects
                 .filter { it.evictable }
                 .minByOrNull { it.lostWorkCoreMillis }
                 ?.let { ColocationAction.Evict(observation.host, it.taskId) }
-        return if (control.throttled.isEmpty()) throttled ?: evicted else evicted ?: throttled
+        return if (control.evictsNext) evicted ?: throttled else throttled ?: evicted
     }
 
-    /** Releases the task that was throttled last, unless the model expects the objective to be missed again. */
+    /** Gives the task that was throttled last as much as the model expects the objective to permit. */
     private fun release(
         control: HostControl,
         observation: HostObservation,
     ): ColocationAction? {
-        val throttled = control.throttled.lastOrNull()?.takeIf { control.calm >= CALM_WINDOWS }
-        val task = observation.tasks.find { it.taskId == throttled } ?: return null
-        val added = task.coreShare * (FULL_PERMILLE - THROTTLE_PERMILLE) / THROTTLE_PERMILLE
-        val staysWithin =
-            observation.services.all {
-                it.latencyMillis * model.slowdown(it.service, task.kind, added).ratio < it.objectiveMillis
-            }
-        return if (staysWithin) ColocationAction.Release(observation.host, task.taskId) else null
+        val throttled =
+            control.throttled.entries
+                .lastOrNull()
+                ?.takeIf { control.calm >= CALM_WINDOWS }
+        val task = observation.tasks.find { it.taskId == throttled?.key }
+        return if (throttled == null || task == null) null else release(task, throttled.value, observation)
     }
 
-    /** Logarithm of the slowdown that [task] may cause, including one standard deviation of what is not known. */
-    private fun suspicion(
+    private fun release(
         task: ColocatedTask,
+        current: Int,
         observation: HostObservation,
-    ): Double =
-        observation.services.maxOfOrNull {
-            val slowdown = model.slowdown(it.service, task.kind, task.coreShare)
-            ln(slowdown.ratio) + slowdown.uncertainty
-        } ?: 0.0
+    ): ColocationAction? {
+        val permitted = relief.permittedPermille(task, current, observation)
+        return when {
+            permitted >= FULL_PERMILLE -> ColocationAction.Release(observation.host, task.taskId)
+            permitted >= current + RAISE_PERMILLE -> ColocationAction.Throttle(observation.host, task.taskId, permitted)
+            else -> null
+        }
+    }
 
     private enum class Level { EXCESS, BETWEEN, CALM }
 
     public companion object {
-        /** Part of its processor limit that a throttled task may use. */
+        /** Part of its processor limit that a task may use after a throttle without better knowledge. */
         public const val THROTTLE_PERMILLE: Int = 250
 
         /** Part of the objective below which throttled tasks are released. */
@@ -198,7 +219,5 @@
     }
 }
 
-private const val FULL_PERMILLE = 1_000
-
-/** Logarithm of a slowdown of about 2%, below which removing the task would not be noticed. */
-private const val SUSPICION_MINIMUM = 0.02
+/** A raise by less than this is not worth a message and a wait for new evidence. */
+private const val RAISE_PERMILLE = 200
--- a/core/src/main/kotlin/org/greengagepass/core/process/HostControl.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/HostControl.kt
@@ -6,17 +6,20 @@
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.Timestamp
 
-/** An action that was decided and is not known to have taken effect. */
-internal class PendingAction(
-    val action: ColocationAction,
-    val deadline: Timestamp,
-)
-
 /** Windows in a row on one side of the objective, what is throttled, and from when on evidence counts. */
 internal class HostControl {
-    val throttled = LinkedHashSet<TaskId>()
-    var pending: PendingAction? = null
-    var lastAction: ColocationAction? = null
+    private val pending = LinkedHashMap<ColocationAction, Timestamp>()
+
+    /** Actions whose confirmation may still come, after they were given up too. */
+    private val unconfirmed = LinkedHashSet<ColocationAction>()
+
+    /** Throttled tasks with what each may use of its limit, in thousandths. */
+    val throttled = LinkedHashMap<TaskId, Int>()
+    var last: HostObservation? = null
+
+    /** Logarithm of the slowdown that is expected from tasks started since the last observation. */
+    var started = 0.0
+    var evictsNext = false
         private set
     var evidenceFrom = Timestamp(Long.MIN_VALUE)
     var excess = 0
@@ -24,6 +27,9 @@
     var calm = 0
         private set
 
+    val hasPending: Boolean
+        get() = pending.isNotEmpty()
+
     fun countExcess() {
         excess++
         calm = 0
@@ -32,6 +38,7 @@
     fun countCalm() {
         calm++
         excess = 0
+        evictsNext = false
     }
 
     fun countBetween() {
@@ -39,27 +46,43 @@
         excess = 0
     }
 
+    /** [action] was decided; further evidence counts only once it has taken effect. */
     fun began(
         action: ColocationAction,
         now: Timestamp,
     ) {
-        countBetween()
-        lastAction = action
-        pending = PendingAction(action, now.plusMillis(ColocationController.ACTION_TIMEOUT_MILLIS))
+        pending[action] = now.plusMillis(ColocationController.ACTION_TIMEOUT_MILLIS)
+        unconfirmed += action
         when (action) {
-            is ColocationAction.Throttle -> throttled.add(action.taskId)
+            is ColocationAction.Throttle -> throttled[action.taskId] = action.permille
             is ColocationAction.Release, is ColocationAction.Evict -> throttled.remove(action.taskId)
         }
+        evictsNext = action is ColocationAction.Throttle && excess > 0
+        countBetween()
+    }
+
+    fun tookEffect(
+        action: ColocationAction,
+        at: Timestamp,
+    ) {
+        if (!unconfirmed.remove(action)) return
+        pending.remove(action)
+        evidenceFrom = maxOf(evidenceFrom, at)
     }
 
     /** An action may have taken effect without a confirmation, so evidence counts only from its timeout on. */
     fun giveUpPending(now: Timestamp) {
-        val expired = pending?.takeIf { it.deadline <= now } ?: return
-        pending = null
-        evidenceFrom = maxOf(evidenceFrom, expired.deadline)
+        val expired = pending.filterValues { it <= now }
+        expired.forEach { (action, deadline) ->
+            pending.remove(action)
+            evidenceFrom = maxOf(evidenceFrom, deadline)
+        }
     }
 
+    /** Drops what concerns tasks that are not in [tasks], which were observed after the last action. */
     fun forgetGone(tasks: List<ColocatedTask>) {
-        throttled.retainAll(tasks.mapTo(HashSet()) { it.taskId })
+        val present = tasks.mapTo(HashSet()) { it.taskId }
+        throttled.keys.retainAll(present)
+        unconfirmed.removeIf { it.taskId !in present }
     }
 }
