Hold back tasks that could only run strongly throttled

Change: placement defers a task that the model expects to start below half of its limit, for at most 300 s and never an urgent one. Decisions on starts use latencies averaged over a few windows, and throttles aim at 95% instead of 85% of the objective.

Ruled out: a single window as the base of decisions on starts (outliers throttled harmless audits, which the hysteresis then kept throttled).

--- a/core/src/main/kotlin/org/greengagepass/core/process/ColocationController.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/ColocationController.kt
@@ -70,7 +70,7 @@
 
 /** Decides on one action at a time for each host. */
 public class ColocationController(
-    private val model: InterferenceModel = InterferenceModel(),
+    model: InterferenceModel = InterferenceModel(),
 ) {
     private val hosts = HashMap<HostId, HostControl>()
     private val relief = InterferenceRelief(model)
@@ -86,6 +86,29 @@
         hosts[action.host]?.tookEffect(action, at)
     }
 
+    /** Thousandths of its limit that [task] could use on [host] if it started now; all if that is not known. */
+    public fun startingPermille(
+        host: HostId,
+        task: ColocatedTask,
+        now: Timestamp,
+    ): Int {
+        val control = hosts[host]
+        val last = control?.last?.takeIf { task.throttleable }
+        if (control == null || last == null) return FULL_PERMILLE
+        return relief.startingPermille(task, last, control.expectedSlowdown(task.taskId, now))
+    }
+
+    /** [task] was placed on [host]; what it is expected to cost counts before it shows in observations. */
+    public fun placed(
+        host: HostId,
+        task: ColocatedTask,
+        now: Timestamp,
+    ) {
+        val control = hosts[host]
+        val slowdown = control?.last?.let { relief.expectedSlowdown(task, it) } ?: return
+        control.expect(task.taskId, slowdown, now)
+    }
+
     /**
      * Decides whether [task], which is about to start on [host], starts throttled: it does if the model is sure that
      * its kind would put a service over the objective.
@@ -94,17 +117,11 @@
         host: HostId,
         task: ColocatedTask,
         now: Timestamp,
-    ): ColocationAction.Throttle? {
-        val control = hosts[host]
-        val last = control?.last
-        if (control == null || last == null) return null
-        val permille = if (task.throttleable) relief.startingPermille(task, last, control.started) else FULL_PERMILLE
-        control.started += relief.expectedSlowdown(task, last) * permille / FULL_PERMILLE
-        return ColocationAction
-            .Throttle(host, task.taskId, permille)
-            .takeIf { permille < FULL_PERMILLE }
-            ?.also { control.began(it, now) }
-    }
+    ): ColocationAction.Throttle? =
+        ColocationAction
+            .Throttle(host, task.taskId, startingPermille(host, task, now))
+            .takeIf { it.permille < FULL_PERMILLE }
+            ?.also { hosts[host]?.began(it, now) }
 
     /** Takes [observation] into account and decides on at most one action. */
     public fun decide(
@@ -115,10 +132,9 @@
         control.giveUpPending(now)
         if (control.hasPending || observation.windowStart < control.evidenceFrom) return null
         control.evidenceFrom = observation.windowEnd
-        control.last = observation
-        control.started = 0.0
+        control.last = relief.smoothed(observation, control.last)
         control.forgetGone(observation.tasks)
-        learn(observation)
+        relief.learn(observation)
         val action =
             when (levelOf(observation)) {
                 Level.EXCESS -> relieve(control.also { it.countExcess() }, observation)
@@ -129,24 +145,6 @@
         return action
     }
 
-    private fun learn(observation: HostObservation) {
-        val shares =
-            observation.tasks
-                .groupBy { it.kind }
-                .mapValues { (_, tasks) -> tasks.sumOf { it.coreShare } }
-        observation.services.forEach { service ->
-            model.learn(
-                SlowdownSample(
-                    service = service.service,
-                    latencyMillis = service.latencyMillis,
-                    utilization = service.utilization,
-                    coreShares = shares,
-                    measuredAt = observation.windowEnd,
-                ),
-            )
-        }
-    }
-
     private fun levelOf(observation: HostObservation): Level =
         when {
             observation.services.any { it.latencyMillis > it.objectiveMillis } -> Level.EXCESS
--- a/core/src/main/kotlin/org/greengagepass/core/process/HostControl.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/HostControl.kt
@@ -6,6 +6,12 @@
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.Timestamp
 
+/** A slowdown that is expected and will show in observations before [until], or not at all. */
+private class ExpectedSlowdown(
+    val slowdown: Double,
+    val until: Timestamp,
+)
+
 /** Windows in a row on one side of the objective, what is throttled, and from when on evidence counts. */
 internal class HostControl {
     private val pending = LinkedHashMap<ColocationAction, Timestamp>()
@@ -17,8 +23,8 @@
     val throttled = LinkedHashMap<TaskId, Int>()
     var last: HostObservation? = null
 
-    /** Logarithm of the slowdown that is expected from tasks started since the last observation. */
-    var started = 0.0
+    /** Logarithms of the slowdowns that are expected from tasks placed lately and not yet observed. */
+    private val expected = HashMap<TaskId, ExpectedSlowdown>()
     var evictsNext = false
         private set
     var evidenceFrom = Timestamp(Long.MIN_VALUE)
@@ -79,9 +85,28 @@
         }
     }
 
+    fun expect(
+        taskId: TaskId,
+        slowdown: Double,
+        now: Timestamp,
+    ) {
+        expected[taskId] = ExpectedSlowdown(slowdown, now.plusMillis(ColocationController.ACTION_TIMEOUT_MILLIS))
+    }
+
+    /** What is expected from tasks other than [except]. */
+    fun expectedSlowdown(
+        except: TaskId,
+        now: Timestamp,
+    ): Double =
+        expected
+            .filter { (taskId, value) -> taskId != except && value.until > now }
+            .values
+            .sumOf { it.slowdown }
+
     /** Drops what concerns tasks that are not in [tasks], which were observed after the last action. */
     fun forgetGone(tasks: List<ColocatedTask>) {
         val present = tasks.mapTo(HashSet()) { it.taskId }
+        expected.keys.removeAll(present)
         throttled.keys.retainAll(present)
         unconfirmed.removeIf { it.taskId !in present }
     }
--- a/core/src/main/kotlin/org/greengagepass/core/process/InterferenceRelief.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/InterferenceRelief.kt
@@ -12,6 +12,39 @@
 internal class InterferenceRelief(
     private val model: InterferenceModel,
 ) {
+    /** Teaches the model what [observation] shows. */
+    fun learn(observation: HostObservation) {
+        val shares =
+            observation.tasks
+                .groupBy { it.kind }
+                .mapValues { (_, tasks) -> tasks.sumOf { it.coreShare } }
+        observation.services.forEach { service ->
+            model.learn(
+                SlowdownSample(
+                    service = service.service,
+                    latencyMillis = service.latencyMillis,
+                    utilization = service.utilization,
+                    coreShares = shares,
+                    measuredAt = observation.windowEnd,
+                ),
+            )
+        }
+    }
+
+    /** [observation] with latencies averaged over a few windows, as decisions on starts need them. */
+    fun smoothed(
+        observation: HostObservation,
+        before: HostObservation?,
+    ): HostObservation {
+        val earlier = before?.services.orEmpty().associateBy { it.service }
+        val services =
+            observation.services.map { service ->
+                val known = earlier[service.service]?.latencyMillis ?: service.latencyMillis
+                service.copy(latencyMillis = known + (service.latencyMillis - known) * NEW_WINDOW_WEIGHT)
+            }
+        return observation.copy(services = services)
+    }
+
     /** Tasks that may cause a slowdown worth acting on, the worst first. */
     fun suspects(observation: HostObservation): List<ColocatedTask> {
         val suspicions = observation.tasks.associateWith { suspicion(it, observation) }
@@ -105,9 +138,12 @@
 /** Logarithm of a slowdown of about 2%, below which removing the task would not be noticed. */
 private const val SUSPICION_MINIMUM = 0.02
 
+/** A single window is often an outlier, which would throttle tasks that do no harm. */
+private const val NEW_WINDOW_WEIGHT = 0.3
+
 /** Part of the worst suspicion below which a task is no suspect: acting on it would cost work and change little. */
 private const val SUSPICION_PART = 0.25
 
 /** Throttles aim below the objective, between it and the release fraction. */
-private const val AIM_FRACTION = 0.85
+private const val AIM_FRACTION = 0.95
 private const val PERMILLE_MINIMUM = 100
--- a/core/src/main/kotlin/org/greengagepass/core/process/TaskPlacement.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/TaskPlacement.kt
@@ -21,6 +21,7 @@
     private val fairShare = FairShare(sources::quotaOf)
     private val hosts = RoundHosts(sources, knowledge.health)
     private val rooms = RoomSearch(hosts, PlacementScore(sources, knowledge), Random(seed))
+    private val deferral = Deferral(sources, knowledge)
     private val unread = UnreadPlacements()
     private val reasons = HashMap<TaskId, WaitReason>()
     private val missedSince = HashMap<TaskId, Timestamp>()
@@ -67,6 +68,7 @@
         rooms.reservations.prune(identifiers, round.now)
         rooms.beginRound()
         missedSince.keys.retainAll(identifiers)
+        deferral.retain(identifiers)
         val usage = hosts.usageByTeam()
         unread.addTo(usage)
         val teams = waiting.mapTo(HashSet(usage.keys)) { it.specification.team }
@@ -103,6 +105,8 @@
             }
         val slot = limit?.takeIf { reason == null }?.let { rooms.find(task, it) }
         return when {
+            slot != null && limit != null && deferral.defers(task, priority, slot, limit, now) ->
+                null.also { reasons[task.id] = WaitReason.Interference(specification.kind) }
             slot != null && limit != null -> placed(task, slot, limit, now)
             else -> waits(task, priority, reason, limit, now)
         }
@@ -116,6 +120,7 @@
     ): Placement {
         val team = task.specification.team
         rooms.take(task, slot, limit)
+        deferral.placed(task, slot, limit, now)
         knowledge.health.placed(slot.host, task.id, now)
         hosts.refreshAvailability(slot, now)
         fairShare.placed(team, limit, now)
--- a/core/src/main/kotlin/org/greengagepass/core/process/WaitReason.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/WaitReason.kt
@@ -7,6 +7,7 @@
 import org.greengagepass.core.Resources
 import org.greengagepass.core.ResultCode
 import org.greengagepass.core.TeamName
+import org.greengagepass.core.WorkKind
 
 /** Why the last round did not place a task. */
 public sealed class WaitReason {
@@ -57,6 +58,15 @@
             get() = "host ${host.value} is being cleared, with $evictions evictions"
     }
 
+    /** The kind would put services over their objectives on every host that was looked at. */
+    public data class Interference(
+        val kind: WorkKind,
+    ) : WaitReason() {
+        override val code: ResultCode = ResultCode.OVERLOADED
+        override val text: String
+            get() = "work of kind ${kind.value} would slow services beyond their objectives"
+    }
+
     /** The task needs more than any host holds and can't run on this fleet. */
     public data class ExceedsEveryHost(
         val need: Resources,
