--- a/core/src/main/kotlin/org/greengagepass/core/process/ColocationController.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/ColocationController.kt
@@ -70,35 +70,71 @@
 
 /** Decides on one action at a time for each host. */
 public class ColocationController(
-    private val model: InterferenceModel = InterferenceModel(),
+    model: InterferenceModel = InterferenceModel(),
 ) {
     private val hosts = HashMap<HostId, HostControl>()
+    private val relief = InterferenceRelief(model)
 
     /** True while [host] is over an objective or an action on it is under way; placement avoids it then. */
-    public fun isUnderPressure(host: HostId): Boolean = hosts[host]?.let { it.excess > 0 || it.pending != null } == true
+    public fun isUnderPressure(host: HostId): Boolean = hosts[host]?.let { it.excess > 0 || it.hasPending } == true
 
     /** [action] took effect [at] a moment of the owner's clock. Only evidence measured from then on counts. */
     public fun tookEffect(
         action: ColocationAction,
         at: Timestamp,
     ) {
-        val control = hosts[action.host] ?: return
-        if (control.lastAction != action) return
-        control.pending = null
-        control.evidenceFrom = maxOf(control.evidenceFrom, at)
+        hosts[action.host]?.tookEffect(action, at)
     }
 
+    /** Thousandths of its limit that [task] could use on [host] if it started now; all if that is not known. */
+    public fun startingPermille(
+        host: HostId,
+        task: ColocatedTask,
+        now: Timestamp,
+    ): Int {
+        val control = hosts[host]
+        val last = control?.last?.takeIf { task.throttleable }
+        if (control == null || last == null) return FULL_PERMILLE
+        return relief.startingPermille(task, last, control.expectedSlowdown(task.taskId, now))
+    }
+
+    /** [task] was placed on [host]; what it is expected to cost counts before it shows in observations. */
+    public fun placed(
+        host: HostId,
+        task: ColocatedTask,
+        now: Timestamp,
+    ) {
+        val control = hosts[host]
+        val slowdown = control?.last?.let { relief.expectedSlowdown(task, it) } ?: return
+        control.expect(task.taskId, slowdown, now)
+    }
+
+    /**
+     * Decides whether [task], which is about to start on [host], starts throttled: it does if the model is sure that
+     * its kind would put a service over the objective.
+     */
+    public fun starting(
+        host: HostId,
+        task: ColocatedTask,
+        now: Timestamp,
+    ): ColocationAction.Throttle? =
+        ColocationAction
+            .Throttle(host, task.taskId, startingPermille(host, task, now))
+            .takeIf { it.permille < FULL_PERMILLE }
+            ?.also { hosts[host]?.began(it, now) }
+
     /** Takes [observation] into account and decides on at most one action. */
     public fun decide(
         observation: HostObservation,
         now: Timestamp,
     ): ColocationAction? {
         val control = hosts.getOrPut(observation.host) { HostControl() }
-        control.forgetGone(observation.tasks)
         control.giveUpPending(now)
-        if (control.pending != null || observation.windowStart < control.evidenceFrom) return null
+        if (control.hasPending || observation.windowStart < control.evidenceFrom) return null
         control.evidenceFrom = observation.windowEnd
-        learn(observation)
+        control.last = relief.smoothed(observation, control.last)
+        control.forgetGone(observation.tasks)
+        relief.learn(observation)
         val action =
             when (levelOf(observation)) {
                 Level.EXCESS -> relieve(control.also { it.countExcess() }, observation)
@@ -109,24 +145,6 @@
         return action
     }
 
-    private fun learn(observation: HostObservation) {
-        val shares =
-            observation.tasks
-                .groupBy { it.kind }
-                .mapValues { (_, tasks) -> tasks.sumOf { it.coreShare } }
-        observation.services.forEach { service ->
-            model.learn(
-                SlowdownSample(
-                    service = service.service,
-                    latencyMillis = service.latencyMillis,
-                    utilization = service.utilization,
-                    coreShares = shares,
-                    measuredAt = observation.windowEnd,
-                ),
-            )
-        }
-    }
-
     private fun levelOf(observation: HostObservation): Level =
         when {
             observation.services.any { it.latencyMillis > it.objectiveMillis } -> Level.EXCESS
@@ -134,54 +152,55 @@
             else -> Level.BETWEEN
         }
 
+    /** Throttles the worst suspect; if the excess lasts, evicts the suspect with the least lost work, and so on. */
     private fun relieve(
         control: HostControl,
         observation: HostObservation,
     ): ColocationAction? {
         if (control.excess < EXCESS_WINDOWS) return null
-        val suspects = observation.tasks.filter { suspicion(it, observation) >= SUSPICION_MINIMUM }
+        val suspects = relief.suspects(observation)
         val throttled =
             suspects
-                .filter { it.throttleable && it.taskId !in control.throttled }
-                .maxByOrNull { suspicion(it, observation) }
-                ?.let { ColocationAction.Throttle(observation.host, it.taskId, THROTTLE_PERMILLE) }
+                .firstOrNull { it.throttleable && it.taskId !in control.throttled }
+                ?.let { ColocationAction.Throttle(observation.host, it.taskId, relief.permille(it, observation)) }
         val evicted =
             suspects
                 .filter { it.evictable }
                 .minByOrNull { it.lostWorkCoreMillis }
                 ?.let { ColocationAction.Evict(observation.host, it.taskId) }
-        return if (control.throttled.isEmpty()) throttled ?: evicted else evicted ?: throttled
+        return if (control.evictsNext) evicted ?: throttled else throttled ?: evicted
     }
 
-    /** Releases the task that was throttled last, unless the model expects the objective to be missed again. */
+    /** Gives the task that was throttled last as much as the model expects the objective to permit. */
     private fun release(
         control: HostControl,
         observation: HostObservation,
     ): ColocationAction? {
-        val throttled = control.throttled.lastOrNull()?.takeIf { control.calm >= CALM_WINDOWS }
-        val task = observation.tasks.find { it.taskId == throttled } ?: return null
-        val added = task.coreShare * (FULL_PERMILLE - THROTTLE_PERMILLE) / THROTTLE_PERMILLE
-        val staysWithin =
-            observation.services.all {
-                it.latencyMillis * model.slowdown(it.service, task.kind, added).ratio < it.objectiveMillis
-            }
-        return if (staysWithin) ColocationAction.Release(observation.host, task.taskId) else null
+        val throttled =
+            control.throttled.entries
+                .lastOrNull()
+                ?.takeIf { control.calm >= CALM_WINDOWS }
+        val task = observation.tasks.find { it.taskId == throttled?.key }
+        return if (throttled == null || task == null) null else release(task, throttled.value, observation)
     }
 
-    /** Logarithm of the slowdown that [task] may cause, including one standard deviation of what is not known. */
-    private fun suspicion(
+    private fun release(
         task: ColocatedTask,
+        current: Int,
         observation: HostObservation,
-    ): Double =
-        observation.services.maxOfOrNull {
-            val slowdown = model.slowdown(it.service, task.kind, task.coreShare)
-            ln(slowdown.ratio) + slowdown.uncertainty
-        } ?: 0.0
+    ): ColocationAction? {
+        val permitted = relief.permittedPermille(task, current, observation)
+        return when {
+            permitted >= FULL_PERMILLE -> ColocationAction.Release(observation.host, task.taskId)
+            permitted >= current + RAISE_PERMILLE -> ColocationAction.Throttle(observation.host, task.taskId, permitted)
+            else -> null
+        }
+    }
 
     private enum class Level { EXCESS, BETWEEN, CALM }
 
     public companion object {
-        /** Part of its processor limit that a throttled task may use. */
+        /** Part of its processor limit that a task may use after a throttle without better knowledge. */
         public const val THROTTLE_PERMILLE: Int = 250
 
         /** Part of the objective below which throttled tasks are released. */
@@ -198,7 +217,5 @@
     }
 }
 
-private const val FULL_PERMILLE = 1_000
-
-/** Logarithm of a slowdown of about 2%, below which removing the task would not be noticed. */
-private const val SUSPICION_MINIMUM = 0.02
+/** A raise by less than this is not worth a message and a wait for new evidence. */
+private const val RAISE_PERMILLE = 200
