Test the request path over random histories with faults

Cause: guarantees G5 to G8 of the request path have to hold with lost, late, repeated and crossed messages, silent connections, and agents that die or leave.

--- /dev/null
+++ b/core/src/test/kotlin/org/greengagepass/core/request/SimulatedAgent.kt
@@ -0,0 +1,127 @@
+/*
+ * One agent and its upstream in a simulated history of requests. It keeps the truth about what ran.
+ */
+package org.greengagepass.core.request
+
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.HostId
+import org.greengagepass.core.Incarnation
+import org.greengagepass.core.RequestId
+import org.greengagepass.core.ResultCode
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.connection.AgentIdentity
+import org.greengagepass.core.connection.AttemptId
+import org.greengagepass.core.connection.DispatchDecision
+import org.greengagepass.core.connection.HandledRequests
+import org.greengagepass.core.connection.Inquiry
+import org.greengagepass.core.connection.InquiryResult
+import org.greengagepass.core.connection.StartDecision
+
+/** What ran, by request: the number of runs that an upstream has begun. */
+internal class Truth {
+    private val runs = HashMap<RequestId, Int>()
+
+    fun ran(wireId: RequestId) {
+        runs.merge(checkNotNull(AttemptId.fromWireId(wireId)).requestId, 1, Int::plus)
+    }
+
+    fun runsOf(requestId: RequestId): Int = runs[requestId] ?: 0
+}
+
+internal class SimulatedAgent(
+    private val host: HostId,
+    private val clockOffsetMillis: Long,
+    private val truth: Truth,
+) {
+    private var handled = HandledRequests()
+    private val waiting = ArrayList<RequestId>()
+    private val running = ArrayList<RequestId>()
+    private var draining = false
+    var identity = AgentIdentity(host, Incarnation(1))
+        private set
+
+    fun clock(now: Timestamp): Timestamp = now.plusMillis(clockOffsetMillis)
+
+    fun report(): UpstreamReport =
+        UpstreamReport(
+            agent = identity,
+            failureDomain = FailureDomainName("port"),
+            freeSlots = UpstreamReport.DEFAULT_SLOTS - running.size,
+            queueLength = waiting.size,
+            leaving = draining,
+        )
+
+    /** The process dies. What its upstream had begun stays begun. */
+    fun restart() {
+        identity = AgentIdentity(host, Incarnation(identity.incarnation.value + 1))
+        handled = HandledRequests()
+        waiting.clear()
+        running.clear()
+        draining = false
+    }
+
+    fun leave() {
+        draining = true
+        handled.startDraining()
+    }
+
+    fun receive(
+        wireId: RequestId,
+        deadline: Timestamp,
+        now: Timestamp,
+        isFull: Boolean,
+    ): RequestOutcome? {
+        val refusal = RequestOutcome.NotRun(ResultCode.OVERLOADED, "the queue is full").takeIf { isFull }
+        return when (val decision = handled.receive(wireId, deadline, clock(now), refusal)) {
+            is DispatchDecision.Take -> {
+                check(!draining) { "G8: $host took $wireId while leaving" }
+                waiting.add(wireId)
+                null
+            }
+            is DispatchDecision.Refuse -> decision.outcome
+            is DispatchDecision.AnswerAgain -> decision.outcome
+            is DispatchDecision.Ignore -> null
+        }
+    }
+
+    fun inquire(
+        inquiries: List<Inquiry>,
+        now: Timestamp,
+    ): List<InquiryResult> = handled.inquire(inquiries, clock(now))
+
+    /** Starts the request that waits longest. Gives an answer if it is refused. */
+    fun startNext(now: Timestamp): Pair<RequestId, RequestOutcome>? {
+        val wireId = waiting.removeFirstOrNull() ?: return null
+        return when (val decision = handled.start(wireId, clock(now))) {
+            is StartDecision.Refuse -> wireId to decision.outcome
+            is StartDecision.Skip -> null
+            is StartDecision.Start -> {
+                running.add(wireId)
+                truth.ran(wireId)
+                null
+            }
+        }
+    }
+
+    /** The upstream ends the request that it has worked on longest, with a whole or a broken answer. */
+    fun finishNext(isBroken: Boolean): Pair<RequestId, RequestOutcome>? {
+        val wireId = running.removeFirstOrNull() ?: return null
+        val outcome =
+            if (isBroken) {
+                BROKEN
+            } else {
+                RequestOutcome.Ran(
+                    answerTo(checkNotNull(AttemptId.fromWireId(wireId)).requestId),
+                )
+            }
+        return handled.end(wireId, outcome)?.let { wireId to it }
+    }
+
+    fun expire(now: Timestamp): List<Pair<RequestId, RequestOutcome>> =
+        handled.expire(clock(now)).map { it.requestId to it.outcome }
+}
+
+internal fun answerTo(requestId: RequestId): Answer = Answer(200, "text/plain", "answer to ${requestId.value}")
+
+/** A malformed outcome: its kind says "not run", its code does not. */
+private val BROKEN = RequestOutcome.NotRun(ResultCode.AGENT_LOST, "the upstream broke off")
