--- a/core/src/main/kotlin/org/greengagepass/core/connection/HandledRecords.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/connection/HandledRecords.kt
@@ -10,8 +10,8 @@
 import java.util.PriorityQueue
 
 /**
- * Records outlive their deadline by this much, so that a dispatch that arrives just after its deadline is still told
- * apart from the repetition of one that ran.
+ * Records outlive their deadline by this much, so that a dispatch that arrives just after its deadline can still be
+ * proven not to have run and is answered. Later ones are ignored.
  */
 internal const val RETENTION_MARGIN_MILLIS = 5_000L
 
--- a/core/src/main/kotlin/org/greengagepass/core/version/ConfigurationChange.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/version/ConfigurationChange.kt
@@ -59,7 +59,7 @@
     } ?: FencingToken.NONE
 
 /** Version that the author of the record had seen, or null if the change is to be made in any case. */
-private fun ConfigurationRecord.expectedVersion(): FencingToken? =
+internal fun ConfigurationRecord.expectedVersion(): FencingToken? =
     when (this) {
         is ConfigurationRecord.ProfilePublished -> expectedVersion
         is ConfigurationRecord.ProfileWithdrawn -> expectedVersion
--- /dev/null
+++ b/core/src/test/kotlin/org/greengagepass/core/version/ConfigurationHistoryTest.kt
@@ -0,0 +1,215 @@
+/*
+ * Folds of random configuration streams (G10): operators race, appends are repeated, records are unreadable or
+ * expire, and readers see old pages, gaps and snapshots of any age.
+ */
+package org.greengagepass.core.version
+
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.FencingToken
+import org.greengagepass.core.ProfileName
+import org.greengagepass.core.Resources
+import org.greengagepass.core.TeamName
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.map
+import kotlin.random.Random
+
+class ConfigurationHistoryTest {
+    /** Guards against processes that hold different configurations, and against a version that falls. */
+    @Test
+    fun `every reader ends with the same state and no version ever falls`() =
+        runTest {
+            checkAll(PropTestConfig(seed = SEED, iterations = 1_000), Arb.long()) { seed ->
+                val stream = RandomStream(Random(seed), batches = 40)
+                val reader = Random(seed + 1)
+                val state = ConfigurationState()
+                repeat(40) {
+                    val before = state.view.version
+                    if (reader.nextInt(4) == 0) {
+                        state.restore(stream.snapshots.random(reader))
+                    } else {
+                        stream.readTo(state, from = reader.nextInt(41), count = reader.nextInt(8))
+                    }
+                    expectThat(state.view.version).isGreaterThanOrEqualTo(before)
+                }
+                stream.readTo(state, from = 0, count = 40)
+                expectThat(state.snapshot()).isEqualTo(stream.snapshots.last())
+            }
+        }
+
+    /** Guards against a lost update: two operators that both believe to have changed the same version. */
+    @Test
+    fun `of racing writes one is in force, and repeated batches and keys have no effect`() =
+        runTest {
+            var conflicts = 0
+            checkAll(PropTestConfig(seed = SEED + 1, iterations = 1_000), Arb.long()) { seed ->
+                val stream = RandomStream(Random(seed), batches = 40)
+                val accepted = stream.results.filter { it.verdict is Verdict.Accepted }
+                expectThat(
+                    accepted.map { it.record.operator to it.record.idempotencyKey }.toSet(),
+                ).hasSize(accepted.size)
+                val current = HashMap<String, FencingToken>()
+                stream.results.forEach { result ->
+                    val actual = current[itemOf(result.record)] ?: FencingToken.NONE
+                    when (result.verdict) {
+                        is Verdict.Accepted -> {
+                            check(
+                                (result.record.expectedVersion() ?: actual) == actual,
+                            ) { "G10: $result took effect over $actual" }
+                            val isGone = result.record is ConfigurationRecord.ProfileWithdrawn
+                            current[itemOf(result.record)] = if (isGone) FencingToken.NONE else result.position
+                        }
+                        is Verdict.Conflict -> conflicts++
+                        is Verdict.Repeated -> Unit
+                    }
+                }
+                expectThat(stream.folded.toSet()).hasSize(stream.folded.size)
+            }
+            expectThat(conflicts).isGreaterThan(1_000)
+        }
+
+    /** Guards against a history that loses who took a failure domain out, or that grows without bound. */
+    @Test
+    fun `the history names who took a failure domain out and when`() {
+        val state = ConfigurationState()
+        repeat(100) { number ->
+            val record = domainRecord(isOut = number % 2 == 0, number = number)
+            state.fold(number.toLong(), ConfigurationBatch("w", number.toLong(), listOf(record)))
+        }
+        val status = state.view.failureDomains.getValue(FailureDomainName("medina"))
+        expectThat(status.history).hasSize(FailureDomainStatus.HISTORY_MAXIMUM)
+        expectThat(
+            status.history.takeLast(2),
+        ).map { Triple(it.isOut, it.operator, it.recordedAtEpochMillis) }.isEqualTo(
+            listOf(Triple(true, "operator-98", 98L), Triple(false, "operator-99", 99L)),
+        )
+        expectThat(state.view.failureDomainsOut).isEqualTo(emptySet())
+    }
+
+    /** Guards against an operator who has to find faults one by one. */
+    @Test
+    fun `validation lists every fault`() {
+        val profile =
+            Profile(
+                ProfileName(" "),
+                ServiceClass.QUICK,
+                latencyObjectiveMillis = 0,
+                retryLimit = 3,
+                deadlineMillis = -1,
+            )
+        val quota =
+            Quota(
+                Resources(milliCores = -1, memoryMegabytes = Long.MAX_VALUE, accelerators = -1),
+                requestsPerSecond = -1,
+            )
+        expectThat(ConfigurationValidation.validate(profile).leftOrNull()?.size).isEqualTo(4)
+        expectThat(ConfigurationValidation.validate(quota).leftOrNull()?.size).isEqualTo(4)
+        expectThat(
+            ConfigurationValidation.validate(Profile(ProfileName("vista-ágil"), ServiceClass.QUICK)).isRight(),
+        ).isEqualTo(true)
+    }
+
+    private companion object {
+        private const val SEED = 20_261_208L
+    }
+}
+
+/** A stream as the log holds it, with the state before each offset, folded in order. */
+@OptIn(ExperimentalSerializationApi::class)
+private class RandomStream(
+    private val random: Random,
+    private val batches: Int,
+) {
+    private val state = ConfigurationState()
+    private val log = ArrayList<ConfigurationBatch?>()
+    private var number = 0
+    val results = ArrayList<RecordResult>()
+    val folded = ArrayList<Pair<String, Long>>()
+    val snapshots = ArrayList<ConfigurationSnapshot>()
+
+    init {
+        repeat(batches) { append() }
+        snapshots.add(copyOf(state.snapshot()))
+    }
+
+    fun readTo(
+        target: ConfigurationState,
+        from: Int,
+        count: Int,
+    ) = (from until minOf(from + count, batches)).forEach { offset ->
+        log[offset]?.let { target.fold(offset.toLong(), it) } ?: target.skipUnreadable(offset.toLong())
+    }
+
+    private fun append() {
+        snapshots.add(copyOf(state.snapshot()))
+        val batch = if (random.nextInt(4) == 0) log.randomOrNull(random) else newBatch()
+        val offset = log.size.toLong()
+        log.add(batch)
+        val result = batch?.let { state.fold(offset, it) }
+        if (batch == null) {
+            state.skipUnreadable(offset)
+        } else if (result is FoldResult.Folded) {
+            results.addAll(result.records)
+            folded.add(result.writer to result.sequence)
+        }
+    }
+
+    private fun newBatch(): ConfigurationBatch =
+        ConfigurationBatch("writer-${random.nextInt(3)}", log.size.toLong(), List(random.nextInt(1, 4)) { newRecord() })
+
+    /** A record whose author has seen the stream up to some earlier offset. */
+    private fun newRecord(): ConfigurationRecord {
+        val seen = snapshots.takeLast(3).random(random).view
+        val key = "key-${if (random.nextInt(5) == 0) random.nextInt(10) else number++ + 10}"
+        val name = ProfileName("profile-${random.nextInt(2)}")
+        val team = TeamName("team-${random.nextInt(2)}")
+        val profileVersion = seen.profiles[name]?.version ?: FencingToken.NONE
+        val quotaVersion = seen.quotas[team]?.version ?: FencingToken.NONE
+        val quota = Quota(Resources(milliCores = number.toLong()), requestsPerSecond = number)
+        return when (random.nextInt(5)) {
+            0 -> ConfigurationRecord.ProfilePublished(Profile(name, ServiceClass.QUICK), profileVersion, "ana", key)
+            1 -> ConfigurationRecord.ProfileWithdrawn(name, profileVersion, "ana", key)
+            2 -> ConfigurationRecord.QuotaSet(team, quota, quotaVersion, "ben", key)
+            else -> domainRecord(random.nextBoolean(), number++, seen.failureDomains[MEDINA]?.latest?.version)
+        }
+    }
+
+    /** Through bytes, as a snapshot of another process arrives. */
+    private fun copyOf(snapshot: ConfigurationSnapshot): ConfigurationSnapshot =
+        Cbor.decodeFromByteArray(
+            ConfigurationSnapshot.serializer(),
+            Cbor.encodeToByteArray(ConfigurationSnapshot.serializer(), snapshot),
+        )
+}
+
+private val MEDINA = FailureDomainName("medina")
+
+private fun domainRecord(
+    isOut: Boolean,
+    number: Int,
+    expected: FencingToken? = null,
+): ConfigurationRecord =
+    if (isOut) {
+        ConfigurationRecord.FailureDomainOut(MEDINA, "works", expected, "operator-$number", "k", number.toLong())
+    } else {
+        ConfigurationRecord.FailureDomainIn(MEDINA, "done", expected, "operator-$number", "k", number.toLong())
+    }
+
+private fun itemOf(record: ConfigurationRecord): String =
+    when (record) {
+        is ConfigurationRecord.ProfilePublished -> "profile ${record.profile.name}"
+        is ConfigurationRecord.ProfileWithdrawn -> "profile ${record.name}"
+        is ConfigurationRecord.QuotaSet -> "quota ${record.team}"
+        is ConfigurationRecord.FailureDomainOut, is ConfigurationRecord.FailureDomainIn -> "medina"
+    }
