--- a/agent/src/test/kotlin/org/greengagepass/agent/AgentTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/AgentTest.kt
@@ -48,6 +48,7 @@
     @Test
     fun `a request goes to the upstream and its whole answer comes back`() =
         withAgent {
+            platform.executor.behaviour = ExecutorBehaviour(serviceMillis = 50)
             (1..20).forEach { entry.dispatch("request-$it#1") }
             (1..20).forEach { number ->
                 val outcome = entry.awaitAnswer("request-$number#1")
--- a/agent/src/test/kotlin/org/greengagepass/agent/Platform.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/Platform.kt
@@ -33,7 +33,7 @@
     val agents = CopyOnWriteArrayList<AgentProcess>()
     var replaced = 0
     private val servers = mutableListOf<EmbeddedServer<*, *>>()
-    private val workerPort = serve { WorkerRoutes(worker, clock).install(this) }
+    val workerPort = serve { WorkerRoutes(worker, clock).install(this) }
     private val executorPort = serve { ExecutorRoutes(executor).install(this) }
     private var nextIncarnation = 1L
 
--- a/agent/src/test/kotlin/org/greengagepass/agent/Relay.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/Relay.kt
@@ -10,6 +10,7 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 
 internal class Relay(
@@ -19,7 +20,7 @@
     private val silences = CopyOnWriteArrayList<AtomicBoolean>()
     private val sockets = CopyOnWriteArrayList<Socket>()
     val port: Int = server.localPort
-    val connections: Int get() = silences.size
+    val bytes = AtomicLong()
 
     init {
         thread(isDaemon = true) { runUntilClosed { while (true) accept() } }
@@ -52,6 +53,7 @@
         while (true) {
             val count = from.getInputStream().read(buffer)
             if (count < 0) return if (silent.get()) Unit else to.close()
+            bytes.addAndGet(count.toLong())
             if (!silent.get()) to.getOutputStream().write(buffer, 0, count)
         }
     }
