--- a/agent/src/test/kotlin/org/greengagepass/agent/Footprint.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/Footprint.kt
@@ -5,6 +5,11 @@
  */
 package org.greengagepass.agent
 
+import com.github.ajalt.clikt.core.CoreCliktCommand
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.int
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -17,19 +22,24 @@
 
 private const val TASKS = 32
 private const val TICKS_PER_SECOND = 100.0
-private const val WARM_UP_MILLIS = 15_000L
 
-/** Arguments: seconds of each phase, requests per second. */
-fun main(arguments: Array<String>) {
-    val seconds = arguments.getOrElse(0) { "30" }.toInt()
-    val requestsPerSecond = arguments.getOrElse(1) { "20" }.toInt()
-    Platform().use { platform ->
-        FakeEntry().use { entry ->
-            Relay(entry.port).use { relay -> Footprint(platform, entry, relay).measure(seconds, requestsPerSecond) }
+private class FootprintCommand : CoreCliktCommand(name = "measure-agent") {
+    private val seconds by option("--seconds", help = "of each phase").int().default(30)
+    private val warmUpSeconds by option("--warm-up-seconds", help = "before each phase").int().default(15)
+    private val requestsPerSecond by option("--requests-per-second").int().default(20)
+
+    override fun run() =
+        Platform().use { platform ->
+            FakeEntry().use { entry ->
+                Relay(entry.port).use { relay ->
+                    Footprint(platform, entry, relay).measure(seconds, warmUpSeconds, requestsPerSecond)
+                }
+            }
         }
-    }
 }
 
+fun main(arguments: Array<String>) = FootprintCommand().main(arguments)
+
 private class Footprint(
     private val platform: Platform,
     private val entry: FakeEntry,
@@ -37,6 +47,7 @@
 ) {
     fun measure(
         seconds: Int,
+        warmUpSeconds: Int,
         requestsPerSecond: Int,
     ) = runBlocking {
         entry.address = "127.0.0.1:${relay.port}"
@@ -47,10 +58,10 @@
             val announcing = launch { platform.announcer(listenPort).run() }
             val starts = (1L..TASKS).map { FakeEntry.task(it, limit = Resources(50, 50), input = INPUT) }
             entry.grant(starts = starts)
-            delay(WARM_UP_MILLIS)
+            delay(warmUpSeconds * 1_000L)
             phase("heartbeats and $TASKS tasks", process, seconds)
             val requests = sendRequests(requestsPerSecond)
-            delay(WARM_UP_MILLIS)
+            delay(warmUpSeconds * 1_000L)
             phase("and $requestsPerSecond requests/s", process, seconds)
             requests.cancel()
             announcing.cancel()
