--- a/agent/src/main/kotlin/org/greengagepass/agent/AgentCommand.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/AgentCommand.kt
@@ -13,6 +13,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import org.greengagepass.agent.process.AgentProcess
 import org.greengagepass.agent.process.AgentSettings
+import org.greengagepass.agent.process.LOG_LEVEL_PROPERTY
 import org.greengagepass.core.FailureDomainName
 import org.greengagepass.core.HostId
 import org.greengagepass.core.Incarnation
@@ -44,7 +45,7 @@
     }
 
     override fun run() {
-        System.setProperty("greengagepass.log.level", logLevel)
+        System.setProperty(LOG_LEVEL_PROPERTY, logLevel)
         val process = AgentProcess(settings()) { Runtime.getRuntime().halt(EXIT_REPLACED) }
         Runtime.getRuntime().addShutdownHook(Thread { process.stop() })
         process.start()
