Stop the entry without cutting off requests in progress

Cause: HttpServer.stop gave the engine a grace period of 0, and the CIO engine cancels all calls when that period ends. The engine also adds a shutdown hook of its own that stops it beside the graceful stop.

Ruled out: a long grace period of the engine, because it goes on taking calls on open connections and waits for idle ones.

Change: on SIGTERM the entry reports that it is not ready for not-ready-millis, then refuses new calls and forwarded requests with 109, begins to release its partitions, waits for calls in progress up to shutdown-millis, and then closes.

--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/CallsInProgress.kt
@@ -0,0 +1,65 @@
+/*
+ * Calls that are being handled. While the entry drains, new calls are refused and those in progress are waited for.
+ */
+package org.greengagepass.entry.process
+
+import io.ktor.http.HttpHeaders
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.ApplicationCallPipeline
+import io.ktor.server.application.call
+import io.ktor.server.request.path
+import io.ktor.server.response.header
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.greengagepass.core.ResultCode
+import org.greengagepass.entry.request.ApiError
+import org.greengagepass.entry.request.respondError
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Counts calls, and refuses new ones once [drain] has been called. */
+public class CallsInProgress {
+    private val count = AtomicInteger()
+
+    /** True if new calls are refused. */
+    @Volatile
+    public var isDraining: Boolean = false
+        private set
+
+    /** Counts the calls of [pipeline]; health checks and metrics are answered to the end. */
+    public fun install(pipeline: ApplicationCallPipeline) {
+        pipeline.intercept(ApplicationCallPipeline.Plugins) {
+            // Counted before the check, so that drain sees either the call or the refusal.
+            count.incrementAndGet()
+            try {
+                if (isDraining && call.request.path().startsWith("/v1/")) {
+                    call.refuse()
+                    finish()
+                } else {
+                    proceed()
+                }
+            } finally {
+                count.decrementAndGet()
+            }
+        }
+    }
+
+    /** Refuses new calls and waits up to [graceMillis] for those in progress; false if some are left. */
+    public suspend fun drain(graceMillis: Long): Boolean {
+        isDraining = true
+        val isDone =
+            withTimeoutOrNull(graceMillis) {
+                while (count.get() > 0) delay(POLL_MILLIS)
+                true
+            }
+        return isDone == true
+    }
+
+    private suspend fun ApplicationCall.refuse() {
+        response.header(HttpHeaders.Connection, "close")
+        respondError(ApiError(ResultCode.DRAINING, "the entry is stopping; send the call to another entry"))
+    }
+
+    private companion object {
+        private const val POLL_MILLIS = 10L
+    }
+}
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.asExecutor
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -19,9 +20,11 @@
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.BatchCodec
 import org.greengagepass.core.PartitionNumber
+import org.greengagepass.core.ResultCode
 import org.greengagepass.core.process.OwnerIdentity
 import org.greengagepass.core.process.OwnerSettings
 import org.greengagepass.core.process.PartitionOwner
+import org.greengagepass.core.request.RequestOutcome
 import org.greengagepass.core.version.ConfigurationBatch
 import org.greengagepass.core.version.ConfigurationRecord
 import org.greengagepass.entry.connection.AgentHub
@@ -69,7 +72,10 @@
             scope = scope,
             connector = FrameConnector(Dispatchers.IO),
             clock = clock,
-            events = EntryPeerEvents(configuration, clock) { gateway.executeForwarded(it) },
+            events =
+                EntryPeerEvents(configuration, clock) {
+                    if (http.isDraining) DRAINING else gateway.executeForwarded(it)
+                },
         )
     private val gateway: RequestGateway = RequestGateway(runner, partitions, peers, clock, tracing)
     private val parts = EntryParts(settings, configuration, partitions, hub, peers, runner)
@@ -129,17 +135,23 @@
         }
     }
 
-    /** Finishes requests in progress, releases the partitions, and ends the connections. */
+    /** Reports not ready, finishes requests in progress, releases the partitions, and ends the connections. */
     private suspend fun stop() {
         logger.info("entry {} stops", settings.entryId.value)
+        status.isStopping = true
+        delay(settings.notReadyMillis)
+        val releases = partitions.all.map { scope.launch { it.release() } }
         http.stop(settings.shutdownMillis)
-        withTimeoutOrNull(RELEASE_MILLIS) {
-            withContext(decisions) { partitions.all.forEach { it.release() } }
+        if (withTimeoutOrNull(RELEASE_MILLIS) { releases.joinAll() } == null) {
+            logger.warn("the release of the partitions was not read back; the next owner has to wait for the leases")
         }
         agentListener.close()
         peerListener.close()
         scope.cancel()
+        tracing.close()
+        logger.info("entry {} has stopped", settings.entryId.value)
         stopped.complete(Unit)
+        LogManager.shutdown()
     }
 
     private fun partition(number: Int): PartitionService =
@@ -161,6 +173,7 @@
 
     private companion object {
         private val logger = LogManager.getLogger(EntryProcess::class.java)
+        private val DRAINING = RequestOutcome.NotRun(ResultCode.DRAINING, "the owner of the partition is stopping")
         private const val TICK_MILLIS = 10L
 
         /** Time for the release of the partitions to be read back; without it the next owner has to wait. */
