--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.asExecutor
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -145,17 +146,23 @@
         }
     }
 
-    /** Finishes requests in progress, releases the partitions, and ends the connections. */
+    /** Reports not ready, finishes requests in progress, releases the partitions, and ends the connections. */
     private suspend fun stop() {
         logger.info("entry {} stops", settings.entryId.value)
+        status.isStopping = true
+        delay(settings.notReadyMillis)
+        val releases = partitions.all.map { scope.launch { it.release() } }
         http.stop(settings.shutdownMillis)
-        withTimeoutOrNull(RELEASE_MILLIS) {
-            withContext(decisions) { partitions.all.forEach { it.release() } }
+        if (withTimeoutOrNull(RELEASE_MILLIS) { releases.joinAll() } == null) {
+            logger.warn("the release of the partitions was not read back; the next owner has to wait for the leases")
         }
         agentListener.close()
         peerListener.close()
         scope.cancel()
+        tracing.close()
+        logger.info("entry {} has stopped", settings.entryId.value)
         stopped.complete(Unit)
+        LogManager.shutdown()
     }
 
     private fun partition(number: Int): PartitionService =
