--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TestClient.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TestClient.kt
@@ -151,6 +151,19 @@
         return call("POST", "${entry.url}/v1/failure-domains/$name/$change", content.toString())
     }
 
+    /** The failure domains as [entry] shows them. */
+    fun failureDomains(entry: TestEntry): String = call("GET", "${entry.url}/v1/failure-domains").body.toString()
+
+    /** Requests that reached the executor of [host] after it had said that it leaves; -1 once it has ended. */
+    fun refusedAfterLeaving(host: String): Int =
+        try {
+            val executor = deployment.hosts.first { it.name == host }.executor
+            val statistics = json.parseToJsonElement(get("$executor/statistics")).jsonObject
+            statistics.getValue("refusedAfterLeaving").jsonPrimitive.int
+        } catch (_: IOException) {
+            -1
+        }
+
     /** Sets faults of the log. */
     fun setLogFaults(faults: String): CallResult = call("PUT", "${deployment.logUrl}/control/faults", faults)
 
