Drop the clocks of replaced agents, and test mixed chunks

Cause: the clock reading of an agent that was replaced without a lost connection stayed in memory.

Change: a new incarnation drops the readings of earlier ones.

--- a/core/src/main/kotlin/org/greengagepass/core/request/EntryRequests.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/request/EntryRequests.kt
@@ -91,6 +91,7 @@
         agent: AgentIdentity,
         now: Timestamp,
     ): List<EntryAction> {
+        clocks.keys.removeIf { it.host == agent.host && it.incarnation < agent.incarnation }
         val reconnection = inFlight.reconnected(agent)
         val waiting =
             reconnection.inquiries
--- a/core/src/test/kotlin/org/greengagepass/core/version/ConfigurationHistoryTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/version/ConfigurationHistoryTest.kt
@@ -118,6 +118,7 @@
         SnapshotChunks.split(state.snapshot(), "entry-1", number = 1).take(2).forEach { assembler.add(it) }
         val results = chunks.zip(others).flatMap { (own, other) -> listOf(assembler.add(own), assembler.add(other)) }
         expectThat(results.mapNotNull { it.getOrNull() }).isEqualTo(listOf(state.snapshot()))
+        assembler.add(SnapshotChunks.split(state.snapshot(), "entry-1", number = 1)[0])
         expectThat(assembler.add(chunks[1]).isLeft()).isEqualTo(true)
     }
 
