--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/OutageTest.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/OutageTest.kt
@@ -6,8 +6,8 @@
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
-import strikt.assertions.isEqualTo
 import strikt.assertions.isContainedIn
+import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 
 class OutageTest {
