--- a/core/src/test/kotlin/org/greengagepass/core/process/FakeEntry.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/FakeEntry.kt
@@ -95,7 +95,7 @@
         when (decision) {
             is OwnerDecision.Append -> if (!isCutOff) world.log.append(decision.batch)
             is OwnerDecision.SendGrant ->
-                simulation.send { world.host(decision.host).receive(decision.incarnation, decision.grant) }
+                simulation.send { world.host(decision.host).receive(this, decision.incarnation, decision.grant) }
             is OwnerDecision.DispatchPermitted -> world.callers.dispatch(this, decision)
             is OwnerDecision.AnswerCaller -> world.callers.answered(decision)
             is OwnerDecision.WriteSnapshot -> world.snapshot = Snapshot.take(owner.state, name, recordsPerChunk = 7)
--- a/core/src/test/kotlin/org/greengagepass/core/process/FakeHost.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/FakeHost.kt
@@ -45,6 +45,9 @@
     var worker: FakeWorker? = null
     private var agent: FakeAgent? = null
 
+    /** The only entry that the host can reach; null if it reaches all. */
+    var boundTo: FakeEntry? = null
+
     fun boot() {
         if (worker != null) return
         worker = FakeWorker(simulation, world.guarantees, world::outSince, host, domain, ++boots)
@@ -79,12 +82,13 @@
     }
 
     fun receive(
+        sender: FakeEntry,
         incarnation: Incarnation,
         grant: HostGrant,
     ) {
-        val receiver = agent?.takeIf { it.incarnation == incarnation.value } ?: return
+        val receiver = agent?.takeIf { it.incarnation == incarnation.value && reaches(sender) } ?: return
         if (simulation.now < receiver.pausedUntil) {
-            simulation.at(receiver.pausedUntil) { receive(incarnation, grant) }
+            simulation.at(receiver.pausedUntil) { receive(sender, incarnation, grant) }
             return
         }
         val isOld = grant.epoch == receiver.highestEpoch && grant.sequence <= receiver.lastSequence
@@ -95,6 +99,8 @@
         }
     }
 
+    fun reaches(entry: FakeEntry): Boolean = boundTo == null || boundTo === entry
+
     private fun carryOut(
         receiver: FakeAgent,
         grant: HostGrant,
@@ -156,7 +162,7 @@
         event: AttemptEvent,
     ) {
         sender.events[event.token] = event
-        world.toEntries(event)
+        world.toEntries(this, event)
     }
 
     private fun report(sender: FakeAgent) {
@@ -180,9 +186,9 @@
                 free = capacity - Resources(milliCores = source.running.toLong()),
                 attempts = source.attempts.values.map { HeldAttempt(it.taskId, it.token, it.checkpoint) },
             )
-        world.toEntries(heartbeat)
+        world.toEntries(this, heartbeat)
         sender.events.values
             .toList()
-            .forEach(world::toEntries)
+            .forEach { world.toEntries(this, it) }
     }
 }
--- a/core/src/test/kotlin/org/greengagepass/core/process/World.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/World.kt
@@ -28,8 +28,11 @@
 
     fun outSince(domain: FailureDomainName): Long? = out[domain]
 
-    /** Sends to every entry, so that an owner that was replaced hears from the hosts too. */
-    fun toEntries(input: OwnerInput) = entries.toList().forEach { simulation.send { it.receive(input) } }
+    /** Sends to every entry in reach of [host], so that an owner that was replaced hears from the hosts too. */
+    fun toEntries(
+        host: FakeHost,
+        input: OwnerInput,
+    ) = entries.filter(host::reaches).forEach { simulation.send { it.receive(input) } }
 
     /** Faults and work for [CHAOS_MILLIS], then a calm in which everything must come to its end. */
     fun run() {
@@ -44,6 +47,7 @@
         log.isDown = false
         out.clear()
         entries.forEach { it.isCutOff = false }
+        hosts.values.forEach { it.boundTo = null }
         simulation.runUntil(END_MILLIS)
         guarantees.checkEnd(callers.accepted)
     }
@@ -81,7 +85,7 @@
     private fun fault() {
         val entry = entries.random(random)
         val host = hosts.values.random(random)
-        when (random.nextInt(13)) {
+        when (random.nextInt(17)) {
             0, 1 -> replace(entry) { entry.isDead = true }
             2 -> replace(entry) { entry.receive(OwnerInput.Shutdown) }
             3, 4 -> entry.pause(random.nextLong(500, 30_000), midway = simulation.chance(percent = 50))
@@ -96,6 +100,8 @@
                 simulation.after(3_000L..30_000L) { host.boot() }
             }
             11 -> takeLogDown()
+            12 -> bind(host, entry)
+            in 13..15 -> isolate()
             else -> toggle(domains.random(random))
         }
     }
@@ -118,7 +124,37 @@
 
     private fun cutOff(entry: FakeEntry) {
         entry.isCutOff = true
-        simulation.after(2_000L..60_000L) { entry.isCutOff = false }
+        simulation.after(2_000L..90_000L) { entry.isCutOff = false }
+    }
+
+    /** Leaves [host] with [entry] alone for a while. */
+    private fun bind(
+        host: FakeHost,
+        entry: FakeEntry,
+    ) {
+        host.boundTo = entry
+        simulation.after(1_000L..90_000L) { host.boundTo = null }
+    }
+
+    /**
+     * Cuts an owner off from the log together with some hosts, whose agents may be replaced. The owner that takes
+     * over may be stopped in turn.
+     */
+    private fun isolate() {
+        val isolated = entries.firstOrNull { it.owner.ownedEpoch != null } ?: return
+        cutOff(isolated)
+        hosts.values.shuffled(random).take(random.nextInt(1, HOSTS)).forEach { host ->
+            simulation.after(0L..15_000L) {
+                bind(host, isolated)
+                if (simulation.chance(percent = 50)) host.killAgent().also { host.startAgent() }
+            }
+        }
+        if (simulation.chance(percent = 30)) {
+            simulation.after(8_000L..20_000L) {
+                val successor = entries.firstOrNull { it !== isolated && it.owner.ownedEpoch != null }
+                successor?.let { replace(it) { it.receive(OwnerInput.Shutdown) } }
+            }
+        }
     }
 
     private fun takeLogDown() {
