--- a/core/src/test/kotlin/org/greengagepass/core/process/TraceTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/TraceTest.kt
@@ -19,6 +19,10 @@
             "cannot-run",
             "cancellation-wave",
             "stale-owner-and-new-agent",
+            "outage-allowance",
+            "release-after-takeover",
+            "partial-page",
+            "refusal-of-a-replaced-agent",
         ],
     )
     fun `the owner decides as the trace states`(name: String) {
