--- a/core/src/main/kotlin/org/greengagepass/core/BatchCodec.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/BatchCodec.kt
@@ -13,7 +13,6 @@
 import org.greengagepass.core.process.SnapshotChunk
 import org.greengagepass.core.process.TaskBatch
 import org.greengagepass.core.version.ConfigurationBatch
-import org.greengagepass.core.version.ConfigurationSnapshot
 
 /** Why a log record holds no batch. */
 public data class BatchError(
@@ -66,9 +65,5 @@
         /** Codec of the streams `tasks-<partition>-snapshots`. */
         public val TASK_SNAPSHOTS: BatchCodec<SnapshotChunk> =
             BatchCodec(SnapshotChunk.serializer()) { it.records.size }
-
-        /** Codec of the stream `configuration-snapshots`. */
-        public val CONFIGURATION_SNAPSHOTS: BatchCodec<ConfigurationSnapshot> =
-            BatchCodec(ConfigurationSnapshot.serializer()) { 1 }
     }
 }
--- a/core/src/main/kotlin/org/greengagepass/core/version/SnapshotChunks.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/version/ConfigurationChunks.kt
@@ -18,7 +18,7 @@
 /** Part [index] of [count] of the snapshot [number] of [writer]. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
-public class SnapshotChunk(
+public class ConfigurationChunk(
     public val writer: String,
     public val number: Long,
     public val index: Int,
@@ -28,7 +28,7 @@
 
 /** Splits snapshots of one writer into payloads of log records. */
 @OptIn(ExperimentalSerializationApi::class)
-public object SnapshotChunks {
+public object ConfigurationChunks {
     /** Most bytes of a snapshot in one chunk, which leaves room for the rest of a log record of 1 MiB. */
     public const val CHUNK_BYTES_MAXIMUM: Int = 500_000
 
@@ -48,26 +48,29 @@
         return (0 until count).map { index ->
             val from = index * CHUNK_BYTES_MAXIMUM
             val bytes = whole.copyOfRange(from, minOf(from + CHUNK_BYTES_MAXIMUM, whole.size))
-            format.encodeToByteArray(SnapshotChunk.serializer(), SnapshotChunk(writer, number, index, count, bytes))
+            format.encodeToByteArray(
+                ConfigurationChunk.serializer(),
+                ConfigurationChunk(writer, number, index, count, bytes),
+            )
         }
     }
 }
 
 /** Puts snapshots together from the records of the stream, read in order. Keeps one unfinished one for each writer. */
-public class SnapshotAssembler {
-    private val unfinished = LinkedHashMap<String, List<SnapshotChunk>>()
+public class ConfigurationAssembler {
+    private val unfinished = LinkedHashMap<String, List<ConfigurationChunk>>()
 
     /** Takes the next record. Gives a snapshot when its last chunk has come, null before, or why it is no chunk. */
     public fun add(payload: ByteArray): Either<BatchError, ConfigurationSnapshot?> =
-        when (val chunk = decode(SnapshotChunk.serializer(), payload)) {
+        when (val chunk = decode(ConfigurationChunk.serializer(), payload)) {
             is Either.Left -> chunk
             is Either.Right -> add(chunk.value)
         }
 
-    private fun add(chunk: SnapshotChunk): Either<BatchError, ConfigurationSnapshot?> {
+    private fun add(chunk: ConfigurationChunk): Either<BatchError, ConfigurationSnapshot?> {
         val chunks = unfinished.remove(chunk.writer).orEmpty() + chunk
         val isInOrder =
-            chunk.count in 1..SnapshotChunks.CHUNKS_MAXIMUM &&
+            chunk.count in 1..ConfigurationChunks.CHUNKS_MAXIMUM &&
                 chunks.withIndex().all { (index, it) -> it.index == index && it.isOfSameSnapshot(chunk) }
         return when {
             !isInOrder && chunk.index == 0 && chunks.size > 1 -> add(chunk)
@@ -79,7 +82,7 @@
 
     private fun keep(
         writer: String,
-        chunks: List<SnapshotChunk>,
+        chunks: List<ConfigurationChunk>,
     ): Either<BatchError, ConfigurationSnapshot?> {
         unfinished[writer] = chunks
         if (unfinished.size > WRITERS_MAXIMUM) {
@@ -88,7 +91,7 @@
         return null.right()
     }
 
-    private fun SnapshotChunk.isOfSameSnapshot(other: SnapshotChunk): Boolean =
+    private fun ConfigurationChunk.isOfSameSnapshot(other: ConfigurationChunk): Boolean =
         number == other.number && count == other.count
 
     @OptIn(ExperimentalSerializationApi::class)
@@ -97,7 +100,7 @@
         bytes: ByteArray,
     ): Either<BatchError, T> =
         Either
-            .catchOrThrow<RuntimeException, T> { SnapshotChunks.format.decodeFromByteArray(serializer, bytes) }
+            .catchOrThrow<RuntimeException, T> { ConfigurationChunks.format.decodeFromByteArray(serializer, bytes) }
             .mapLeft { BatchError(ResultCode.MALFORMED, "no chunk of a snapshot: ${it.message}") }
 
     public companion object {
--- a/core/src/test/kotlin/org/greengagepass/core/process/Trace.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/Trace.kt
@@ -172,6 +172,7 @@
     when (answer) {
         is CallerAnswer.Submitted -> "submitted"
         is CallerAnswer.CancelRecorded -> "cancel recorded ${answer.state::class.simpleName}"
+        is CallerAnswer.NotOwner -> "notOwner"
         is CallerAnswer.Ended -> "${answer.outcome::class.simpleName} ${answer.outcome.code}"
     }
 
--- a/core/src/test/kotlin/org/greengagepass/core/version/ConfigurationHistoryTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/version/ConfigurationHistoryTest.kt
@@ -110,15 +110,15 @@
         keys.chunked(4_000).forEachIndexed { number, records ->
             state.fold(number.toLong(), ConfigurationBatch("w", number.toLong(), records))
         }
-        val chunks = SnapshotChunks.split(state.snapshot(), "entry-1", number = 2)
+        val chunks = ConfigurationChunks.split(state.snapshot(), "entry-1", number = 2)
         expectThat(chunks.size).isGreaterThan(2)
         val others =
-            SnapshotChunks.split(state.snapshot(), "entry-2", number = 2).take(chunks.size - 1) + byteArrayOf(1)
-        val assembler = SnapshotAssembler()
-        SnapshotChunks.split(state.snapshot(), "entry-1", number = 1).take(2).forEach { assembler.add(it) }
+            ConfigurationChunks.split(state.snapshot(), "entry-2", number = 2).take(chunks.size - 1) + byteArrayOf(1)
+        val assembler = ConfigurationAssembler()
+        ConfigurationChunks.split(state.snapshot(), "entry-1", number = 1).take(2).forEach { assembler.add(it) }
         val results = chunks.zip(others).flatMap { (own, other) -> listOf(assembler.add(own), assembler.add(other)) }
         expectThat(results.mapNotNull { it.getOrNull() }).isEqualTo(listOf(state.snapshot()))
-        assembler.add(SnapshotChunks.split(state.snapshot(), "entry-1", number = 1)[0])
+        assembler.add(ConfigurationChunks.split(state.snapshot(), "entry-1", number = 1)[0])
         expectThat(assembler.add(chunks[1]).isLeft()).isEqualTo(true)
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -63,7 +63,8 @@
     private val runner = RequestRunner(policies, clock, tracing) { hub[it] }
     private val configuration =
         ConfigurationService(configurationAppender) { policies.failureDomainsOut = it.failureDomainsOut }
-    private val configurationSnapshots = ConfigurationSnapshots(log, settings.logRetentionMillis)
+    private val configurationSnapshots =
+        ConfigurationSnapshots(log, settings.entryId.value, settings.logRetentionMillis)
     private val partitions = Partitions((0 until settings.partitions).map(::partition))
     private val hub: AgentHub = AgentHub(scope, EntryAgentEvents(settings, configuration, runner, partitions, metrics))
     private val peerEvents = EntryPeerEvents(configuration, clock) { gateway.executeForwarded(it) }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionSnapshots.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionSnapshots.kt
@@ -16,17 +16,20 @@
     log: LogService,
     stream: String,
 ) {
-    private val snapshots = SnapshotStream(log, "$stream-snapshots", BatchCodec.TASK_SNAPSHOTS)
+    private val snapshots = SnapshotStream(log, "$stream-snapshots")
 
     /** The newest whole state; an empty one if there is no snapshot. */
     public suspend fun newest(): Either<PlatformError, PartitionState> {
         val reader = NewestSnapshot()
-        return snapshots.readAll(reader::add).map { reader.state ?: PartitionState() }
+        return snapshots.readAll { BatchCodec.TASK_SNAPSHOTS.decode(it).map(reader::add) }.map {
+            reader.state
+                ?: PartitionState()
+        }
     }
 
     /** Appends a snapshot. */
     public suspend fun write(chunks: List<SnapshotChunk>) {
-        snapshots.write(chunks)
+        snapshots.write(chunks.map(BatchCodec.TASK_SNAPSHOTS::encode))
     }
 }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/SnapshotStream.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/SnapshotStream.kt
@@ -8,26 +8,25 @@
 import arrow.core.left
 import arrow.core.right
 import org.apache.logging.log4j.LogManager
-import org.greengagepass.core.BatchCodec
+import org.greengagepass.core.BatchError
 import org.greengagepass.platform.process.LogRecord
 import org.greengagepass.platform.process.LogService
 import org.greengagepass.platform.process.PlatformError
 
-/** Reads and writes [stream], whose records are encoded by [codec]. */
-public class SnapshotStream<C>(
+/** Reads and writes [stream]. */
+public class SnapshotStream(
     private val log: LogService,
     private val stream: String,
-    private val codec: BatchCodec<C>,
 ) {
-    /** Hands every readable record to [onRecord], oldest first, up to the head of the stream. */
-    public suspend fun readAll(onRecord: (C) -> Unit): Either<PlatformError, Unit> {
+    /** Hands every record to [onRecord], oldest first, up to the head; it gives an error for an unreadable one. */
+    public suspend fun readAll(onRecord: (ByteArray) -> Either<BatchError, Unit>): Either<PlatformError, Unit> {
         var nextOffset = 0L
         while (true) {
             when (val page = log.read(stream, nextOffset, waitMillis = 0)) {
                 is Either.Left -> return page.value.left()
 
                 is Either.Right -> {
-                    page.value.records.forEach { record -> decode(record)?.let(onRecord) }
+                    page.value.records.forEach { record -> onRecord(record.payload).onLeft { warn(record, it) } }
                     if (page.value.records.isEmpty()) return Unit.right()
                     nextOffset = page.value.nextOffset
                 }
@@ -36,21 +35,19 @@
     }
 
     /** Appends [chunks] in order; stops at the first that is not answered, and the next snapshot replaces it. */
-    public suspend fun write(chunks: List<C>) {
-        val failure = chunks.firstNotNullOfOrNull { log.append(stream, codec.encode(it)).leftOrNull() }
+    public suspend fun write(chunks: List<ByteArray>) {
+        val failure = chunks.firstNotNullOfOrNull { log.append(stream, it).leftOrNull() }
         if (failure != null) {
             logger.warn("snapshot to {} was not completed: {}", stream, failure.detail)
         }
     }
 
-    private fun decode(record: LogRecord): C? =
-        codec.decode(record.payload).fold(
-            { error ->
-                logger.error("{} offset {}: {}", stream, record.offset, error.detail)
-                null
-            },
-            { it },
-        )
+    private fun warn(
+        record: LogRecord,
+        error: BatchError,
+    ) {
+        logger.error("{} offset {}: {}", stream, record.offset, error.detail)
+    }
 
     private companion object {
         private val logger = LogManager.getLogger(SnapshotStream::class.java)
--- a/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationSnapshots.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationSnapshots.kt
@@ -4,29 +4,29 @@
 package org.greengagepass.entry.version
 
 import arrow.core.Either
-import org.greengagepass.core.BatchCodec
 import org.greengagepass.core.Timestamp
+import org.greengagepass.core.version.ConfigurationAssembler
+import org.greengagepass.core.version.ConfigurationChunks
 import org.greengagepass.core.version.ConfigurationSnapshot
 import org.greengagepass.core.version.ConfigurationState
 import org.greengagepass.entry.process.SnapshotStream
 import org.greengagepass.platform.process.LogService
 import org.greengagepass.platform.process.PlatformError
 
-/** Takes and restores snapshots of the configuration; the log keeps records for [logRetentionMillis]. */
+/** Takes snapshots of the configuration as [writer], and restores them; the log keeps records for [logRetentionMillis]. */
 public class ConfigurationSnapshots(
     log: LogService,
+    private val writer: String,
     private val logRetentionMillis: Long,
 ) {
-    private val snapshots = SnapshotStream(log, "$CONFIGURATION_STREAM-snapshots", BatchCodec.CONFIGURATION_SNAPSHOTS)
+    private val snapshots = SnapshotStream(log, "$CONFIGURATION_STREAM-snapshots")
     private var writtenOffset = 0L
     private var dueAt: Timestamp? = null
 
     /** Restores the newest snapshot into [state]. */
     public suspend fun restore(state: ConfigurationState): Either<PlatformError, Unit> {
-        var newest: ConfigurationSnapshot? = null
-        return snapshots
-            .readAll { if (it.nextOffset >= (newest?.nextOffset ?: 0)) newest = it }
-            .map { newest?.let(state::restore) }
+        val assembler = ConfigurationAssembler()
+        return snapshots.readAll { payload -> assembler.add(payload).map { it?.let(state::restore) } }
     }
 
     /** The snapshot to write at [now], or null if none is due. */
@@ -47,7 +47,7 @@
 
     /** Appends [snapshot]. */
     public suspend fun write(snapshot: ConfigurationSnapshot) {
-        snapshots.write(listOf(snapshot))
+        snapshots.write(ConfigurationChunks.split(snapshot, writer, number = snapshot.nextOffset))
     }
 
     private companion object {
