--- a/core/src/test/kotlin/org/greengagepass/core/process/TaskPlacementTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/TaskPlacementTest.kt
@@ -151,8 +151,11 @@
         checkAll(PropTestConfig(seed = SEED, iterations = count), Arb.long()) { body(it) }
     }
 
+    /** Ends some tasks and teaches sizes that are far off what was declared. */
     private fun endSome(model: PlacementModel) =
         model.running().filter { model.random.nextInt(8) == 0 }.forEach {
+            val usage = cores(model.random.nextLong(100, 10_000))
+            model.knowledge.sizes.observe(it.specification.kind, usage, runMillis = null)
             model.end(it.id, waitsAgain = model.random.nextBoolean())
         }
 
