--- a/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationSnapshots.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationSnapshots.kt
@@ -13,7 +13,7 @@
 import org.greengagepass.platform.process.LogService
 import org.greengagepass.platform.process.PlatformError
 
-/** Takes snapshots of the configuration as [writer], and restores them; the log keeps records for [logRetentionMillis]. */
+/** Takes and restores snapshots of the configuration as [writer]; the log keeps records for [logRetentionMillis]. */
 public class ConfigurationSnapshots(
     log: LogService,
     private val writer: String,
