--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/process/SimulatedAttempt.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/SimulatedAttempt.kt
@@ -26,8 +26,11 @@
         private set
     var checkpoint = start.resumeFrom
         private set
-    private var progressMillis = progressOf(start.resumeFrom)
-    private val progressAtStartMillis = progressMillis
+    private val progressAtStartMillis = progressOf(start.resumeFrom)
+
+    /** Kept in thousandths of a millisecond, since a slowed attempt advances by parts of one. */
+    private var progressMicros = progressAtStartMillis * WHOLE_PERMILLE
+    private val progressMillis get() = progressMicros / WHOLE_PERMILLE
     private var advancedTo = startedAt
     private var permille = WHOLE_PERMILLE
     private var usage = UsageSample(Resources.NONE, startedAt)
@@ -36,8 +39,7 @@
     fun advance(now: Timestamp) {
         if (state != AttemptState.RUNNING) return
         val until = if (leaseDeadline < now) leaseDeadline else now
-        progressMillis +=
-            maxOf(0, until.millisSince(advancedTo)) * work.speedPermille(allowedMilliCores()) / WHOLE_PERMILLE
+        progressMicros += maxOf(0, until.millisSince(advancedTo)) * work.speedPermille(allowedMilliCores())
         advancedTo = until
         state = stateAt(now)
     }
