--- a/entry/src/main/kotlin/org/greengagepass/entry/process/OperatorCommand.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/OperatorCommand.kt
@@ -113,8 +113,11 @@
         columns: List<Column>,
         items: List<JsonObject>,
     ) {
-        echo(columns.joinToString("\t") { it.title })
-        items.forEach { item -> echo(columns.joinToString("\t") { it.value(item) }) }
+        val rows = listOf(columns.map { it.title }) + items.map { item -> columns.map { it.value(item) } }
+        val widths = columns.indices.map { index -> rows.maxOf { it[index].length } }
+        rows.forEach { row ->
+            echo(row.mapIndexed { index, cell -> cell.padEnd(widths[index]) }.joinToString("  ").trimEnd())
+        }
     }
 
     private fun text(value: JsonElement): String = (value as? JsonPrimitive)?.content ?: value.toString()
