Checkpoint tasks periodically; explain the agent's flags; measure state per task

Cause: an attempt was checkpointed only when it was evicted or its agent stopped, so a task whose host failed began anew from its last eviction.

Change: the agent checkpoints all attempts every 60 s (a setting).

--- a/agent/src/main/kotlin/org/greengagepass/agent/AgentCommand.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/AgentCommand.kt
@@ -11,6 +11,7 @@
 import com.github.ajalt.clikt.parameters.options.split
 import com.github.ajalt.clikt.parameters.types.choice
 import com.github.ajalt.clikt.parameters.types.long
+import com.github.ajalt.clikt.parameters.types.restrictTo
 import org.greengagepass.agent.process.AgentProcess
 import org.greengagepass.agent.process.AgentSettings
 import org.greengagepass.agent.process.LOG_LEVEL_PROPERTY
@@ -27,18 +28,34 @@
 
 /** Runs an agent until the process is told to end. */
 internal class AgentCommand : CoreCliktCommand(name = "greengagepass-agent") {
-    private val host by option("--host", help = "name of this host").required()
-    private val failureDomain by option("--failure-domain").required()
-    private val rack by option("--rack").required()
-    private val entries by option("--entries", help = "host:port of entries, separated by commas").split(",").required()
-    private val worker by option("--worker", help = "for example http://127.0.0.1:7100").required()
-    private val listen by option("--listen", help = "host:port for announcements and health").default(DEFAULT_LISTEN)
-    private val reserveMilliCores by option("--reserve-milli-cores").long().default(DEFAULT_RESERVE_MILLI_CORES)
-    private val reserveMemoryMegabytes by option("--reserve-memory-megabytes")
-        .long()
-        .default(DEFAULT_RESERVE_MEMORY_MEGABYTES)
-    private val drainMillis by option("--drain-millis").long().default(AgentSettings.DRAIN_MILLIS)
-    private val logLevel by option("--log-level").choice("debug", "info", "warn", "error", "off").default("info")
+    private val host by option("--host", help = "Name of this host (required)").required()
+    private val failureDomain by option("--failure-domain", help = "Failure domain of this host (required)").required()
+    private val rack by option("--rack", help = "Rack of this host (required)").required()
+    private val entries by option("--entries", help = "host:port of entries, separated by commas (required)")
+        .split(",")
+        .required()
+    private val worker by option("--worker", help = "URL of the worker of this host (required)").required()
+    private val listen by option("--listen", help = "host:port for announcements and health (default $DEFAULT_LISTEN)")
+        .default(DEFAULT_LISTEN)
+    private val reserveMilliCores by option(
+        "--reserve-milli-cores",
+        help = "Thousandths of a core kept for upstreams (default $DEFAULT_RESERVE_MILLI_CORES)",
+    ).long().default(DEFAULT_RESERVE_MILLI_CORES)
+    private val reserveMemoryMegabytes by option(
+        "--reserve-memory-megabytes",
+        help = "Megabytes kept for upstreams (default $DEFAULT_RESERVE_MEMORY_MEGABYTES)",
+    ).long().default(DEFAULT_RESERVE_MEMORY_MEGABYTES)
+    private val drainMillis by option(
+        "--drain-millis",
+        help = "Longest wait of a stopping agent for requests in progress (ms, default ${AgentSettings.DRAIN_MILLIS})",
+    ).long().default(AgentSettings.DRAIN_MILLIS)
+    private val checkpointIntervalMillis by option(
+        "--checkpoint-interval-millis",
+        help = "Time between checkpoints of a task (ms, default ${AgentSettings.CHECKPOINT_INTERVAL_MILLIS})",
+    ).long().restrictTo(min = 1_000).default(AgentSettings.CHECKPOINT_INTERVAL_MILLIS)
+    private val logLevel by option("--log-level", help = "debug, info, warn, error or off (default info)")
+        .choice("debug", "info", "warn", "error", "off")
+        .default("info")
 
     init {
         context { autoEnvvarPrefix = "GREENGAGEPASS" }
@@ -64,5 +81,6 @@
             listenPort = listen.substringAfterLast(':').toInt(),
             reserve = Resources(reserveMilliCores, reserveMemoryMegabytes),
             drainMillis = drainMillis,
+            checkpointIntervalMillis = checkpointIntervalMillis,
         )
 }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/Agent.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/Agent.kt
@@ -87,6 +87,7 @@
                 tick()
             }
         }
+        scope.launch { driver.checkpointEvery(settings.checkpointIntervalMillis) { supervisor.runningTokens } }
         log.info("the agent has started")
     }
 
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/AgentSettings.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/AgentSettings.kt
@@ -21,9 +21,13 @@
     val listenPort: Int,
     val reserve: Resources,
     val drainMillis: Long = DRAIN_MILLIS,
+    val checkpointIntervalMillis: Long = CHECKPOINT_INTERVAL_MILLIS,
 ) {
     companion object {
         /** Time that requests in progress have to finish when the agent stops, in milliseconds. */
         const val DRAIN_MILLIS: Long = 30_000
+
+        /** Most work, in milliseconds, that a task loses when its host fails. */
+        const val CHECKPOINT_INTERVAL_MILLIS: Long = 60_000
     }
 }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/WorkerDriver.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/WorkerDriver.kt
@@ -124,6 +124,17 @@
     }
 }
 
+/** Checkpoints the attempts of [tokens] every [intervalMillis], which bounds the work lost when the host fails. */
+internal suspend fun WorkerDriver.checkpointEvery(
+    intervalMillis: Long,
+    tokens: () -> List<FencingToken>,
+) {
+    while (true) {
+        delay(intervalMillis)
+        checkpointAll(tokens())
+    }
+}
+
 /** What the driver tells the agent. */
 internal interface WorkerObserver {
     /** Events for the owner may have been added. */
--- a/benchmark/src/main/kotlin/org/greengagepass/benchmark/PartitionCost.kt
+++ b/benchmark/src/main/kotlin/org/greengagepass/benchmark/PartitionCost.kt
@@ -5,6 +5,7 @@
  */
 package org.greengagepass.benchmark
 
+import org.greengagepass.core.BatchCodec
 import org.greengagepass.core.EntryId
 import org.greengagepass.core.Epoch
 import org.greengagepass.core.FailureDomainName
@@ -31,6 +32,7 @@
 import org.greengagepass.core.process.PartitionState
 import org.greengagepass.core.process.PlacementPolicy
 import org.greengagepass.core.process.ReleaseReason
+import org.greengagepass.core.process.Snapshot
 import org.greengagepass.core.process.TaskBatch
 import org.greengagepass.core.process.TaskRecord
 import org.greengagepass.core.process.TaskSpecification
@@ -42,6 +44,9 @@
 private const val RECORDS_PER_BATCH = 125
 private const val HEARTBEATS_PER_ROUND = 2_000
 private const val WRITER = "other"
+
+/** One collection may leave what finalisation or reference queues still hold. */
+private const val COLLECTIONS = 3
 private const val SMALL_PARTITION = 1_000
 private const val MIDDLE_PARTITION = 4_000
 private const val LARGE_PARTITION = 16_000
@@ -59,15 +64,37 @@
 public object PartitionCost {
     /** Runs the measurement; the median of the rounds counts. */
     public fun run() {
-        println("tasks  ns per folded record  ns per heartbeat  attempts per host")
+        println(
+            "tasks  ns per folded record  ns per heartbeat  attempts per host  heap bytes per task  " +
+                "snapshot bytes per task",
+        )
         listOf(SMALL_PARTITION, MIDDLE_PARTITION, LARGE_PARTITION).forEach { tasks ->
             val fold = median { foldRound(tasks) }
             val heartbeats = HeartbeatRounds(tasks)
             val heartbeat = median { heartbeats.round() }
-            println("%5d  %20d  %16d  %17d".format(tasks, fold, heartbeat, TASKS_PER_HOST))
+            val format = "%5d  %20d  %16d  %17d  %19d  %23d"
+            println(format.format(tasks, fold, heartbeat, TASKS_PER_HOST, heapPerTask(tasks), snapshotPerTask(tasks)))
         }
     }
 
+    private fun heapPerTask(tasks: Int): Long {
+        val before = usedHeap()
+        val state = runningTasks(tasks)
+        val after = usedHeap()
+        check(state.tasks.all.size == tasks)
+        return (after - before) / tasks
+    }
+
+    private fun snapshotPerTask(tasks: Int): Int =
+        Snapshot.take(runningTasks(tasks), WRITER).sumOf { BatchCodec.TASK_SNAPSHOTS.encode(it).size } / tasks
+
+    private fun runningTasks(tasks: Int): PartitionState = PartitionState().also { TaskLog(it).startAll(tasks) }
+
+    private fun usedHeap(): Long {
+        repeat(COLLECTIONS) { System.gc() }
+        return ManagementFactory.getMemoryMXBean().heapMemoryUsage.used
+    }
+
     private fun median(round: () -> Long): Long {
         repeat(WARM_UP_ROUNDS) { round() }
         return List(MEASURED_ROUNDS) { round() }.sorted()[MEASURED_ROUNDS / 2]
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TaskSafetyTest.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TaskSafetyTest.kt
@@ -4,9 +4,11 @@
  */
 package org.greengagepass.endtoend
 
+import org.greengagepass.platform.process.AttemptState
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
-import strikt.assertions.isEqualTo
+import strikt.assertions.hasSize
+import strikt.assertions.isGreaterThanOrEqualTo
 
 class TaskSafetyTest {
     @Test
@@ -15,10 +17,15 @@
             val entry = deployment.entries.first()
             client.submit(entry, "render-1", runMillis = 20_000)
             val host = awaitHost(client, entry, "render-1")
+            awaitUntil("a checkpoint is recorded") { client.checkpointOf(entry, "render-1") > 0 }
+            val recorded = client.checkpointOf(entry, "render-1")
             deployment.kill("agent-$host")
             awaitFinished(client, entry, "render-1")
             client.expectSafeHistory()
-            expectThat(TaskHistory(client.history().filter { it.taskId.value == "render-1" }).starts).isEqualTo(2)
+            val starts =
+                client.history().filter { it.taskId.value == "render-1" && it.state == AttemptState.RUNNING }
+            expectThat(starts).hasSize(2)
+            expectThat(starts.last().checkpoint.number).isGreaterThanOrEqualTo(recorded)
         }
 
     @Test
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TestClient.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TestClient.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
 import kotlinx.serialization.json.put
 import org.greengagepass.standins.process.HistoryEvent
 import org.greengagepass.standins.process.HistoryPage
@@ -112,6 +113,15 @@
             ?.content ?: "none"
     }
 
+    /** Number of the last recorded checkpoint of a task. */
+    fun checkpointOf(
+        entry: TestEntry,
+        taskId: String,
+    ): Long {
+        val task = call("GET", "${entry.url}/v1/tasks/$taskId").body
+        return task["checkpointNumber"]?.jsonPrimitive?.long ?: 0
+    }
+
     /** The host that holds a task, or null. */
     fun hostOf(
         entry: TestEntry,
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TestDeployment.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TestDeployment.kt
@@ -103,6 +103,7 @@
                 "--entries=${entries.joinToString(",") { it.agentAddress }}",
                 "--worker=${host.worker}",
                 "--listen=${host.listen}",
+                "--checkpoint-interval-millis=$CHECKPOINT_INTERVAL_MILLIS",
             ),
         )
     }
@@ -187,6 +188,9 @@
         const val SERVICE = "tool-belt-orders"
         val DOMAINS = listOf("medina", "port", "sakiet")
         private val JVM_OPTIONS = listOf("-XX:+UseSerialGC", "-Xms16m", "-Xmx96m", "-XX:TieredStopAtLevel=1")
+
+        /** Short, so that a task is checkpointed several times in a scenario. */
+        private const val CHECKPOINT_INTERVAL_MILLIS = 2_000
         private const val EXIT_SECONDS = 40L
         private const val LOG_TAIL_CHARACTERS = 1_500
 
