Bound what callers can make an entry keep; show placement's own reasons

Cause: a caller who invents service names filled the table of policies, and a forwarded request whose answer timed out stayed in its link. The reason that a task waits was worked out a second time beside the one of placement.

Change: one policy for all services that no agent has reported; a forward is dropped when it ends; why shows the reason of the last round where this entry schedules the task, and the list of workers shows quarantine.

--- a/entry/src/main/kotlin/org/greengagepass/entry/connection/PeerHub.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/connection/PeerHub.kt
@@ -50,8 +50,11 @@
         forward: PeerMessage.Forward,
     ): RequestOutcome? {
         val outcome = CompletableDeferred<RequestOutcome?>()
-        val isSent = links[owner]?.send(forward, outcome) == true
-        return if (isSent) withTimeoutOrNull(forward.remainingMillis) { outcome.await() } else null
+        val link = links[owner]
+        val isSent = link?.send(forward, outcome) == true
+        val answer = if (isSent) withTimeoutOrNull(forward.remainingMillis) { outcome.await() } else null
+        link?.complete(forward.requestId, answer)
+        return answer
     }
 
     private suspend fun keepConnected(address: String) {
@@ -67,10 +70,8 @@
     private suspend fun runLink(connection: FramedConnection<PeerMessage, PeerMessage>) {
         connection.start(scope)
         connection.send(PeerMessage.PeerHello(PROTOCOL_VERSION, self))
-        val hello =
-            withTimeoutOrNull(
-                PEER_SILENCE_MILLIS,
-            ) { connection.receive().getOrNull() } as? PeerMessage.PeerHello
+        val greeting = withTimeoutOrNull(PEER_SILENCE_MILLIS) { connection.receive().getOrNull() }
+        val hello = greeting as? PeerMessage.PeerHello
         if (hello != null && hello.protocolVersion == PROTOCOL_VERSION) {
             val link = PeerLink(connection)
             links.put(hello.entry, link)?.close()
--- a/entry/src/main/kotlin/org/greengagepass/entry/connection/WorkerRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/connection/WorkerRoutes.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.serialization.Serializable
 import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.HostId
 import org.greengagepass.core.Resources
 import org.greengagepass.entry.request.pageRequest
 import org.greengagepass.entry.request.respondPage
@@ -35,6 +36,7 @@
     private val hub: AgentHub,
     private val decisions: CoroutineDispatcher,
     private val isOut: (FailureDomainName) -> Boolean,
+    private val isQuarantined: (HostId) -> Boolean?,
 ) {
     /** Adds the route to [route]. */
     public fun install(route: Route) {
@@ -64,6 +66,7 @@
                 services = heartbeat.services,
                 tasks = heartbeat.tasks.size,
                 draining = heartbeat.draining,
+                quarantined = isQuarantined(session.hello.host),
             )
         }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryRoutes.kt
@@ -32,7 +32,15 @@
         statusRoutes.installMetrics(route)
         route.operatorRoutes(parts.settings.token) {
             AdministrationRoutes(configuration, decisions).install(this)
-            WorkerRoutes(parts.hub, decisions) { configuration.view.isOut(it) }.install(this)
+            WorkerRoutes(
+                hub = parts.hub,
+                decisions = decisions,
+                isOut = { configuration.view.isOut(it) },
+                isQuarantined = { host ->
+                    val partition = parts.partitions.of(host)
+                    if (partition.isOwned) partition.placement.isQuarantined(host) else null
+                },
+            ).install(this)
             tasks.install(this)
             statusRoutes.install(this)
         }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionPlacement.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionPlacement.kt
@@ -17,6 +17,7 @@
 import org.greengagepass.core.process.PlacementSources
 import org.greengagepass.core.process.TaskPlacement
 import org.greengagepass.core.process.WaitReason
+import org.greengagepass.core.process.WorkerAvailability
 import org.greengagepass.core.version.Profile
 import org.greengagepass.core.version.Quota
 import org.greengagepass.entry.version.ConfigurationService
@@ -44,6 +45,10 @@
     /** Why [taskId], which waits, was not placed in the last round. */
     public fun whyWaiting(taskId: TaskId): WaitReason = policy.whyWaiting(taskId)
 
+    /** True if [host] gets no tasks because it failed what it started. */
+    public fun isQuarantined(host: HostId): Boolean =
+        knowledge.health.availability(host, clock.now()) !is WorkerAvailability.Available
+
     /** Learns from a heartbeat. */
     public fun onHeartbeat(
         host: HostId,
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/ServicePolicies.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/ServicePolicies.kt
@@ -29,13 +29,11 @@
             policies.values.forEach { it.router.failureDomainsOut = names }
         }
 
+    /** One policy for all services that no agent has reported, so that callers can't fill memory with names. */
+    private val unreported = newPolicy()
+
     /** The policy of [service]. */
-    public fun of(service: ServiceName): RequestPolicy =
-        policies.getOrPut(service) {
-            val router = Router(entryId, failureDomain)
-            router.failureDomainsOut = failureDomainsOut
-            RequestPolicy(router, RetryBudget(), LoadShedder())
-        }
+    public fun of(service: ServiceName): RequestPolicy = policies[service] ?: unreported
 
     /** The agent [agent] in [agentDomain] reported its upstreams with [heartbeat]. */
     public fun reported(
@@ -46,7 +44,7 @@
         val reported = heartbeat.services.map { it.service }.toSet()
         policies.filterKeys { it !in reported }.values.forEach { it.router.gone(agent.host) }
         heartbeat.services.forEach { state ->
-            of(state.service).router.reported(
+            policies.getOrPut(state.service) { newPolicy() }.router.reported(
                 UpstreamReport(
                     agent = agent,
                     failureDomain = agentDomain,
@@ -58,6 +56,12 @@
         }
     }
 
+    private fun newPolicy(): RequestPolicy {
+        val router = Router(entryId, failureDomain)
+        router.failureDomainsOut = failureDomainsOut
+        return RequestPolicy(router, RetryBudget(), LoadShedder())
+    }
+
     /** The agent of [host] is not connected any more. */
     public fun gone(host: HostId) {
         policies.values.forEach { it.router.gone(host) }
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/TaskListRoutes.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/TaskListRoutes.kt
@@ -14,6 +14,7 @@
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.TeamName
 import org.greengagepass.core.process.Task
+import org.greengagepass.core.process.WaitReason
 import org.greengagepass.entry.connection.AgentHub
 import org.greengagepass.entry.connection.AgentSession
 import org.greengagepass.entry.process.MonotonicClock
@@ -89,6 +90,10 @@
                 partition.tasks.waiting
                     .indexOfFirst { it.id == task.id }
                     .coerceAtLeast(0),
+            placement =
+                partition.placement
+                    .whyWaiting(task.id)
+                    .takeIf { partition.isOwned && it !is WaitReason.BehindOthers },
         )
 
     private fun isOf(
--- a/entry/src/main/kotlin/org/greengagepass/entry/request/WaitReason.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/request/WaitReason.kt
@@ -11,6 +11,7 @@
 import org.greengagepass.core.process.TaskState
 import org.greengagepass.core.version.ConfigurationFreshness
 import org.greengagepass.core.version.Quota
+import org.greengagepass.core.process.WaitReason as PlacementReason
 
 /** State of a task and the reason for it. [decidedByOwner] is false if this entry does not schedule the task. */
 @Serializable
@@ -31,7 +32,10 @@
     val draining: Boolean,
 )
 
-/** What placement of a task depends on, as this entry sees it. */
+/**
+ * What placement of a task depends on, as this entry sees it. [placement] is the reason that the last round gave, if
+ * this entry schedules the task.
+ */
 public data class PlacementConditions(
     val isOwned: Boolean,
     val owner: String?,
@@ -41,6 +45,7 @@
     val runningOfTeam: Resources,
     val hosts: List<CandidateHost>,
     val waitingBefore: Int,
+    val placement: PlacementReason? = null,
 )
 
 /** The reason for the state of [task] under [conditions]. */
@@ -92,7 +97,11 @@
 private fun waitReason(
     task: Task,
     conditions: PlacementConditions,
-): ApiError = controlReason(task, conditions) ?: quotaReason(task, conditions) ?: hostReason(task, conditions)
+): ApiError =
+    controlReason(task, conditions)
+        ?: conditions.placement?.let { ApiError(it.code, it.text) }
+        ?: quotaReason(task, conditions)
+        ?: hostReason(task, conditions)
 
 private fun controlReason(
     task: Task,
