--- a/agent/src/test/kotlin/org/greengagepass/agent/AgentTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/AgentTest.kt
@@ -278,7 +278,7 @@
         }
 
     private companion object {
-        /** Ends a test that hangs. Ten connections take 8 s on an idle machine, since the agent backs off between them. */
+        /** Ends a test that hangs. Ten connections take 8 s on an idle machine, as the agent backs off between them. */
         private const val CONNECTIONS_MILLIS = 60_000L
     }
 }
