--- a/agent/src/main/kotlin/org/greengagepass/agent/Main.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/Main.kt
@@ -5,7 +5,11 @@
 
 import com.github.ajalt.clikt.core.main
 
-/** Runs the program with [arguments]. */
+/** Runs the program with [arguments]; the first word `host` runs the agent on the platform. */
 public fun main(arguments: Array<String>) {
-    AgentCommand().main(arguments)
+    if (arguments.firstOrNull() == "host") {
+        HostCommand().main(arguments.drop(1))
+    } else {
+        AgentCommand().main(arguments)
+    }
 }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/Agent.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/Agent.kt
@@ -16,13 +16,13 @@
 import org.greengagepass.agent.request.RequestSurroundings
 import org.greengagepass.agent.version.FailureDomainView
 import org.greengagepass.core.Timestamp
-import org.greengagepass.platform.process.Announcement
-import org.greengagepass.platform.process.UpstreamService
-import org.greengagepass.platform.process.WorkerService
 import org.greengagepass.protocol.connection.AgentMessage
 import org.greengagepass.protocol.connection.EntryMessage
 import org.greengagepass.protocol.connection.FrameConnector
 import org.greengagepass.protocol.connection.PROTOCOL_VERSION
+import org.greengagepass.services.process.Announcement
+import org.greengagepass.services.process.UpstreamService
+import org.greengagepass.services.process.WorkerService
 
 private const val TICK_MILLIS = 1_000L
 
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/AgentProcess.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/AgentProcess.kt
@@ -11,10 +11,10 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.greengagepass.core.Timestamp
-import org.greengagepass.platform.process.HttpUpstreamService
-import org.greengagepass.platform.process.HttpWorkerService
-import org.greengagepass.platform.process.platformHttpClient
 import org.greengagepass.protocol.connection.FrameConnector
+import org.greengagepass.services.process.HttpUpstreamService
+import org.greengagepass.services.process.HttpWorkerService
+import org.greengagepass.services.process.platformHttpClient
 import java.util.concurrent.Executors
 
 private const val NANOS_PER_MILLI = 1_000_000L
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/AgentServer.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/AgentServer.kt
@@ -9,7 +9,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import org.greengagepass.platform.process.Announcement
+import org.greengagepass.services.process.Announcement
 import java.net.InetSocketAddress
 
 private const val STATUS_OK = 200
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/HeldAttempts.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/HeldAttempts.kt
@@ -16,16 +16,16 @@
 import org.greengagepass.core.process.ReportedAttempt
 import org.greengagepass.core.process.StartAnswer
 import org.greengagepass.core.process.StartRequest
-import org.greengagepass.platform.process.AttemptReport
-import org.greengagepass.platform.process.AttemptState
-import org.greengagepass.platform.process.PlatformError
-import org.greengagepass.platform.process.RefusalReason
-import org.greengagepass.platform.process.WorkerReport
-import org.greengagepass.platform.process.WorkerStart
 import org.greengagepass.protocol.connection.EntryMessage.Grant
 import org.greengagepass.protocol.connection.TaskChange
 import org.greengagepass.protocol.connection.TaskReport
 import org.greengagepass.protocol.connection.TaskStart
+import org.greengagepass.services.process.AttemptReport
+import org.greengagepass.services.process.AttemptState
+import org.greengagepass.services.process.PlatformError
+import org.greengagepass.services.process.RefusalReason
+import org.greengagepass.services.process.WorkerReport
+import org.greengagepass.services.process.WorkerStart
 
 /** Attempts by token, as last reported or started since. */
 internal class HeldAttempts {
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/TaskSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/TaskSupervisor.kt
@@ -17,15 +17,15 @@
 import org.greengagepass.core.process.StartAdmission
 import org.greengagepass.core.process.StartAnswer
 import org.greengagepass.core.process.StartRequest
-import org.greengagepass.platform.process.AttemptState
-import org.greengagepass.platform.process.PlatformError
-import org.greengagepass.platform.process.WorkerReport
-import org.greengagepass.platform.process.WorkerStart
 import org.greengagepass.protocol.connection.EntryMessage.Grant
 import org.greengagepass.protocol.connection.TaskChange
 import org.greengagepass.protocol.connection.TaskCommand
 import org.greengagepass.protocol.connection.TaskReport
 import org.greengagepass.protocol.connection.TaskStart
+import org.greengagepass.services.process.AttemptState
+import org.greengagepass.services.process.PlatformError
+import org.greengagepass.services.process.WorkerReport
+import org.greengagepass.services.process.WorkerStart
 
 /** A call to make to the worker. */
 internal sealed class WorkerAction {
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/WorkerDriver.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/WorkerDriver.kt
@@ -12,11 +12,11 @@
 import kotlinx.coroutines.sync.withLock
 import org.greengagepass.core.FencingToken
 import org.greengagepass.core.Incarnation
-import org.greengagepass.platform.process.PlatformError
-import org.greengagepass.platform.process.RefusalReason
-import org.greengagepass.platform.process.WorkerReport
-import org.greengagepass.platform.process.WorkerService
 import org.greengagepass.protocol.connection.TaskCommand
+import org.greengagepass.services.process.PlatformError
+import org.greengagepass.services.process.RefusalReason
+import org.greengagepass.services.process.WorkerReport
+import org.greengagepass.services.process.WorkerService
 
 private const val ATTACH_RETRY_MILLIS = 200L
 
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/WorkerEvents.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/WorkerEvents.kt
@@ -3,7 +3,7 @@
  */
 package org.greengagepass.agent.process
 
-import org.greengagepass.platform.process.PlatformError
+import org.greengagepass.services.process.PlatformError
 
 /** Observes the worker for the agent. [onReplaced] is called when a newer agent has attached. */
 internal class WorkerEvents(
--- /dev/null
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostLook.kt
@@ -0,0 +1,103 @@
+/*
+ * Looks at the executor again and again while a scheduler leads, extends the lease as far as that one has granted,
+ * and reports what is there. Confined to the agent's dispatcher.
+ */
+package org.greengagepass.agent.process.jobs
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.withTimeoutOrNull
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.process.jobs.HostIncarnation
+import org.greengagepass.core.process.jobs.HostReport
+import org.greengagepass.services.process.HostCall
+import org.greengagepass.services.process.HostView
+import org.greengagepass.services.process.TaskHost
+
+/** What one scheduler has granted to one life of the host. */
+internal class HostGrant(
+    val incarnation: HostIncarnation,
+    val epoch: Epoch,
+) {
+    /** Reading of the host's clock until which its tasks may be held, or null before the first grant. */
+    var leaseUntilHostClock: Long? = null
+
+    /** Ends up to this number are stored. */
+    var acknowledgedEnds: Long = 0
+
+    /** The call that this grant allows now. */
+    fun call() = HostCall(incarnation, epoch, leaseUntilHostClock)
+}
+
+/** Looks at [host]; [report] gets what is there. */
+internal class HostLook(
+    private val host: TaskHost,
+    private val report: (HostReport) -> Unit,
+) {
+    private val answered = Channel<Unit>(Channel.CONFLATED)
+
+    /** Number of the last look that was begun. */
+    var lookNumber: Long = 0
+        private set
+
+    /** The scheduler has answered the last report. */
+    fun onAnswer() {
+        answered.trySend(Unit)
+    }
+
+    /** Looks while [isCurrent]. */
+    suspend fun run(
+        grant: HostGrant,
+        isCurrent: () -> Boolean,
+    ) {
+        var waitMillis = 0L
+        while (isCurrent()) {
+            lookNumber += 1
+            val number = lookNumber
+            val view = host.look(grant.call(), grant.acknowledgedEnds, waitMillis).getOrNull()
+            if (!isCurrent()) return
+            while (answered.tryReceive().isSuccess) Unit
+            view?.let { report(describe(grant, number, it)) }
+            // With ends that are not acknowledged the executor answers at once, so the acknowledgement is awaited.
+            val hasOpenEnds = (view?.ends?.lastOrNull()?.number ?: 0) > grant.acknowledgedEnds
+            awaitAnswers(grant, view, if (hasOpenEnds || view == null) OPEN_ENDS_MILLIS else GRANT_MILLIS)
+            waitMillis = LOOK_WAIT_MILLIS
+        }
+    }
+
+    private suspend fun awaitAnswers(
+        grant: HostGrant,
+        view: HostView?,
+        timeoutMillis: Long,
+    ) {
+        val lastEnd = view?.ends?.lastOrNull()?.number ?: 0
+        withTimeoutOrNull(timeoutMillis) {
+            do {
+                answered.receive()
+            } while (grant.acknowledgedEnds < lastEnd)
+        }
+    }
+
+    private fun describe(
+        grant: HostGrant,
+        number: Long,
+        view: HostView,
+    ) = HostReport(
+        incarnation = grant.incarnation,
+        lookNumber = number,
+        clockMillis = view.clockMillis,
+        running = view.running,
+        ends = view.ends,
+        listsAllEnds = view.listsAllEnds,
+    )
+
+    private companion object {
+        /** The lease is extended this often at least; it lasts about ten times as long. */
+        private const val LOOK_WAIT_MILLIS = 400L
+
+        /** A grant takes one round trip between failure domains. */
+        private const val GRANT_MILLIS = 60L
+
+        /** Storing ends takes a few milliseconds, but may take long when the store is slow. */
+        private const val OPEN_ENDS_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostMetrics.kt
@@ -0,0 +1,25 @@
+/*
+ * Counters of an agent on the platform.
+ */
+package org.greengagepass.agent.process.jobs
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import org.greengagepass.core.process.jobs.StartOutcome
+
+/** Metrics of one agent. */
+internal class HostMetrics {
+    private val registry = SimpleMeterRegistry()
+
+    /** An order to start ended with [outcome]; null means that its scheduler was lost. */
+    fun started(outcome: StartOutcome?) {
+        registry.counter("greengagepass_agent_starts", "outcome", outcome?.name?.lowercase() ?: "lost").increment()
+    }
+
+    /** All counters as text, one a line. */
+    fun text(): String =
+        registry.meters.filterIsInstance<Counter>().joinToString("") { counter ->
+            val tags = counter.id.tags.joinToString(",") { "${it.key}=\"${it.value}\"" }
+            "${counter.id.name}{$tags} ${counter.count()}\n"
+        }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostOrders.kt
@@ -0,0 +1,89 @@
+/*
+ * Carries out orders at the executor. An order without an answer may still be carried out later, so it is repeated
+ * until an answer comes, and a start counts as refused only once the executor can't carry it out any more.
+ */
+package org.greengagepass.agent.process.jobs
+
+import kotlinx.coroutines.delay
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.process.jobs.StartOrder
+import org.greengagepass.core.process.jobs.StartOutcome
+import org.greengagepass.core.process.jobs.TaskRun
+import org.greengagepass.services.process.HostCall
+import org.greengagepass.services.process.HostFailure
+import org.greengagepass.services.process.TaskHost
+
+/** Gives orders to [host] as long as [isCurrent] says that the scheduler who gave them still leads. */
+internal class HostOrders(
+    private val host: TaskHost,
+    private val isCurrent: (HostCall) -> Boolean,
+) {
+    /** What became of [order]; null if its scheduler was lost before that is known. */
+    suspend fun start(
+        call: HostCall,
+        order: StartOrder,
+    ): StartOutcome? {
+        var isUncertain = false
+        var outcome: StartOutcome? = null
+        while (outcome == null && isCurrent(call)) {
+            outcome =
+                host.start(call, order).fold(
+                    { failure ->
+                        isUncertain = isUncertain || failure is HostFailure.NoAnswer
+                        afterFailure(order, failure)
+                    },
+                    { answered -> settle(call, order.run, answered, isUncertain) },
+                )
+        }
+        return outcome
+    }
+
+    /** True once [run] can't start any more; false if the scheduler was lost before. */
+    suspend fun stop(
+        call: HostCall,
+        run: TaskRun,
+    ): Boolean {
+        var isStopped = false
+        while (!isStopped && isCurrent(call)) {
+            val failure = host.stop(call, run).leftOrNull()
+            isStopped = failure == null || failure is HostFailure.OtherLife
+            if (!isStopped) {
+                logger.info("stop of {} failed: {}", run, failure?.detail)
+                delay(REPEAT_MILLIS)
+            }
+        }
+        return isStopped
+    }
+
+    private suspend fun afterFailure(
+        order: StartOrder,
+        failure: HostFailure,
+    ): StartOutcome? =
+        if (failure is HostFailure.OtherLife) {
+            StartOutcome.UNAVAILABLE
+        } else {
+            logger.info("start of {} failed: {}", order.run, failure.detail)
+            delay(REPEAT_MILLIS)
+            null
+        }
+
+    /** An earlier order without an answer could still start the run after a refusal; a stop rules that out. */
+    private suspend fun settle(
+        call: HostCall,
+        run: TaskRun,
+        outcome: StartOutcome,
+        isUncertain: Boolean,
+    ): StartOutcome? {
+        val isCertain = outcome == StartOutcome.STARTED || outcome == StartOutcome.SUPERSEDED || !isUncertain
+        return when {
+            isCertain -> outcome
+            stop(call, run) -> StartOutcome.SUPERSEDED
+            else -> null
+        }
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger("org.greengagepass.agent")
+        private const val REPEAT_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
@@ -0,0 +1,73 @@
+/*
+ * Assembles the process of an agent on the platform.
+ */
+package org.greengagepass.agent.process.jobs
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.HostId
+import org.greengagepass.core.process.jobs.HostDescription
+import org.greengagepass.platform.AnnouncementListener
+import org.greengagepass.platform.ExecutorAnnouncements
+import org.greengagepass.platform.ExecutorTaskHost
+import org.greengagepass.platform.LogStateStore
+import org.greengagepass.platform.PlatformClient
+import org.greengagepass.platform.PlatformSettings
+import org.greengagepass.protocol.connection.FrameConnector
+import org.greengagepass.protocol.connection.SchedulerDialer
+import org.greengagepass.services.process.LeaderDirectory
+import org.greengagepass.services.process.platformHttpClient
+import java.util.concurrent.Executors
+
+/** An agent with [settings]. */
+internal class HostProcess(
+    private val settings: PlatformSettings,
+) : AnnouncementListener {
+    private val thread = Executors.newSingleThreadExecutor { Thread(it, "agent") }
+    private val selectorThread = Executors.newSingleThreadExecutor { Thread(it, "selector") }
+    private val scope = CoroutineScope(SupervisorJob() + thread.asCoroutineDispatcher())
+    private val http = platformHttpClient(thread)
+    private val metrics = HostMetrics()
+    private val directory =
+        LeaderDirectory(LogStateStore(PlatformClient(http, settings.storeAddress))) {
+            logger.info("no announcement of a leader: {}", it.detail)
+        }
+    private val executor =
+        ExecutorTaskHost(
+            PlatformClient(http, requireNotNull(settings.executorAddress) { "no address of the executor" }),
+        )
+    private val supervisor = HostSupervisor(executor, directory, settings.seedAddresses, scope, metrics)
+    private val announcements =
+        ExecutorAnnouncements(
+            address = requireNotNull(settings.announcementAddress) { "no address for announcements" },
+            listener = this,
+            metrics = metrics::text,
+        )
+    private val dialer = SchedulerDialer(FrameConnector(selectorThread.asCoroutineDispatcher()), scope, supervisor)
+
+    /** Runs until the process ends. Tasks run on under their lease, which the next agent extends. */
+    suspend fun run() {
+        Runtime.getRuntime().addShutdownHook(Thread { logger.info("agent {} stops", settings.processName) })
+        logger.info("agent {} starts", settings.processName)
+        announcements.start()
+        scope.launch { directory.follow() }
+        scope.launch { dialer.run() }
+        CompletableDeferred<Unit>().await()
+    }
+
+    override fun onAlive(description: HostDescription) {
+        scope.launch { supervisor.onAlive(description) }
+    }
+
+    override fun onLeft(host: HostId) {
+        scope.launch { supervisor.onLeft(host) }
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger("org.greengagepass.agent")
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -0,0 +1,140 @@
+/*
+ * The agent of one host on the platform: it follows the leading scheduler, carries out its orders at the executor, and
+ * tells it what the executor holds. It keeps nothing that a restarted agent could not learn again. Confined to the
+ * agent's dispatcher.
+ */
+package org.greengagepass.agent.process.jobs
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.HostId
+import org.greengagepass.core.process.jobs.HostDescription
+import org.greengagepass.protocol.connection.FramedConnection
+import org.greengagepass.protocol.connection.FromScheduler
+import org.greengagepass.protocol.connection.PROTOCOL_VERSION
+import org.greengagepass.protocol.connection.SchedulerLineEvents
+import org.greengagepass.protocol.connection.ToScheduler
+import org.greengagepass.services.process.HostCall
+import org.greengagepass.services.process.LeaderDirectory
+import org.greengagepass.services.process.TaskHost
+
+/** Supervises [host]. */
+internal class HostSupervisor(
+    host: TaskHost,
+    private val directory: LeaderDirectory,
+    private val seedAddresses: List<String>,
+    private val scope: CoroutineScope,
+    metrics: HostMetrics,
+) : SchedulerLineEvents {
+    private val look = HostLook(host) { line?.send(ToScheduler.Report(it)) }
+    private val execution =
+        OrderExecution(
+            host = host,
+            scope = scope,
+            metrics = metrics,
+            state =
+                object : HostState {
+                    override val isLeaving: Boolean get() = description?.isDraining ?: true
+                    override val lookNumber: Long get() = look.lookNumber
+
+                    override fun isCurrent(call: HostCall) = this@HostSupervisor.isCurrent(call)
+
+                    override fun answer(message: ToScheduler) {
+                        line?.send(message)
+                    }
+                },
+        )
+    private var description: HostDescription? = null
+    private var line: FramedConnection<ToScheduler, FromScheduler>? = null
+    private var grant: HostGrant? = null
+    private var looking: Job? = null
+    private var highestEpoch = Epoch.NONE
+
+    /** The executor has said what it is. */
+    fun onAlive(heard: HostDescription) {
+        val known = description
+        if (known == heard) return
+        description = heard
+        val isOtherLife = known != null && known.incarnation != heard.incarnation
+        if (known == null || isOtherLife || known.isDraining != heard.isDraining) {
+            logger.info("host {} of pool {}, draining: {}", heard.incarnation, heard.pool.value, heard.isDraining)
+        }
+        if (isOtherLife) line?.send(ToScheduler.HostGone(known.incarnation))
+        line?.send(ToScheduler.HostDescribed(heard))
+        if (isOtherLife) line?.let { follow(highestEpoch) }
+    }
+
+    /** The executor has left. */
+    fun onLeft(left: HostId) {
+        val known = description?.takeIf { it.incarnation.host == left } ?: return
+        logger.info("host {} has left", known.incarnation)
+        line?.send(ToScheduler.HostGone(known.incarnation))
+        description = null
+        grant = null
+    }
+
+    override fun addresses(): List<String> = listOfNotNull(directory.newest?.address) + seedAddresses
+
+    override fun hello(): ToScheduler? = description?.let { ToScheduler.HostHello(PROTOCOL_VERSION, it) }
+
+    override fun onConnected(
+        epoch: Epoch,
+        line: FramedConnection<ToScheduler, FromScheduler>,
+    ) {
+        if (epoch < highestEpoch) {
+            logger.info("the scheduler at {} leads an epoch that is over", line.remoteAddress)
+            line.close()
+            return
+        }
+        logger.info("follows the scheduler of epoch {} at {}", epoch.value, line.remoteAddress)
+        highestEpoch = epoch
+        this.line = line
+        description?.let { line.send(ToScheduler.HostDescribed(it)) }
+        follow(epoch)
+    }
+
+    override fun onMessage(message: FromScheduler) {
+        when (message) {
+            is FromScheduler.Grant -> {
+                val granted = grant?.takeIf { it.incarnation == message.incarnation }
+                granted?.leaseUntilHostClock = message.leaseUntilHostClock
+                look.onAnswer()
+            }
+            is FromScheduler.AcknowledgeEnds -> {
+                val granted = grant?.takeIf { it.incarnation == message.incarnation }
+                granted?.acknowledgedEnds = message.through
+                look.onAnswer()
+            }
+            is FromScheduler.Start -> execution.start(message, highestEpoch)
+            is FromScheduler.Stop -> execution.stop(message, highestEpoch)
+            is FromScheduler.Pace -> execution.pace(message, highestEpoch)
+            is FromScheduler.Welcome, is FromScheduler.NotLeading, is FromScheduler.Answer, is FromScheduler.Pong ->
+                Unit
+        }
+    }
+
+    override fun onDisconnected() {
+        if (line != null) logger.info("the scheduler of epoch {} is lost", highestEpoch.value)
+        line = null
+        grant = null
+    }
+
+    override fun onNotLeading(address: String): Unit = Unit
+
+    private fun follow(epoch: Epoch) {
+        val current = HostGrant(description?.incarnation ?: return, epoch)
+        grant = current
+        looking?.cancel()
+        looking = scope.launch { look.run(current) { grant === current } }
+    }
+
+    private fun isCurrent(call: HostCall): Boolean =
+        grant?.let { it.incarnation == call.incarnation && it.epoch == call.epoch } ?: false
+
+    private companion object {
+        private val logger = LogManager.getLogger("org.greengagepass.agent")
+    }
+}
--- /dev/null
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/OrderExecution.kt
@@ -0,0 +1,87 @@
+/*
+ * Carries out each order of the scheduler in a coroutine of its own and answers it.
+ */
+package org.greengagepass.agent.process.jobs
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.process.jobs.StartOutcome
+import org.greengagepass.core.process.jobs.StartResult
+import org.greengagepass.core.process.jobs.StopResult
+import org.greengagepass.protocol.connection.FromScheduler
+import org.greengagepass.protocol.connection.ToScheduler
+import org.greengagepass.services.process.HostCall
+import org.greengagepass.services.process.TaskHost
+
+/** What an order depends on while it is carried out. */
+internal interface HostState {
+    /** True if the executor has said that it leaves. */
+    val isLeaving: Boolean
+
+    /** Number of the last look that was begun. */
+    val lookNumber: Long
+
+    /** True if the scheduler of [call] still leads and its life of the host lasts. */
+    fun isCurrent(call: HostCall): Boolean
+
+    /** Sends [message] to the scheduler. */
+    fun answer(message: ToScheduler)
+}
+
+/** Carries out orders at [host]. */
+internal class OrderExecution(
+    private val host: TaskHost,
+    private val scope: CoroutineScope,
+    private val metrics: HostMetrics,
+    private val state: HostState,
+) {
+    private val orders = HostOrders(host, state::isCurrent)
+
+    fun start(
+        message: FromScheduler.Start,
+        epoch: Epoch,
+    ) {
+        val call = HostCall(message.incarnation, epoch, message.leaseUntilHostClock)
+        scope.launch {
+            // The executor's own word that it leaves is newer than the scheduler's view.
+            val outcome = if (state.isLeaving) StartOutcome.UNAVAILABLE else orders.start(call, message.order)
+            metrics.started(outcome)
+            if (outcome != null) {
+                val result = StartResult(message.incarnation, message.order.run, outcome, state.lookNumber)
+                state.answer(ToScheduler.StartAnswered(result))
+            }
+            if (outcome != StartOutcome.STARTED) logger.info("start of {}: {}", message.order.run, outcome)
+        }
+    }
+
+    fun stop(
+        message: FromScheduler.Stop,
+        epoch: Epoch,
+    ) {
+        val call = HostCall(message.incarnation, epoch, leaseUntilHostClock = null)
+        scope.launch {
+            if (orders.stop(call, message.run)) {
+                val result = StopResult(message.incarnation, message.run, state.lookNumber)
+                state.answer(ToScheduler.StopAnswered(result))
+            }
+        }
+    }
+
+    fun pace(
+        message: FromScheduler.Pace,
+        epoch: Epoch,
+    ) {
+        val call = HostCall(message.incarnation, epoch, leaseUntilHostClock = null)
+        scope.launch {
+            host.pace(call, message.run, message.percent).onLeft { failure ->
+                logger.info("pace of {} was not changed: {}", message.run, failure.detail)
+            }
+        }
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger("org.greengagepass.agent")
+    }
+}
--- a/agent/src/main/kotlin/org/greengagepass/agent/request/AnnouncedUpstreams.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/request/AnnouncedUpstreams.kt
@@ -7,8 +7,8 @@
 import org.greengagepass.core.Timestamp
 import org.greengagepass.core.process.RequestAdmission
 import org.greengagepass.core.process.SlotChanges
-import org.greengagepass.platform.process.Announcement
 import org.greengagepass.protocol.connection.ServiceState
+import org.greengagepass.services.process.Announcement
 
 /** Upstreams that announced themselves to [admission]. */
 internal class AnnouncedUpstreams(
--- a/agent/src/main/kotlin/org/greengagepass/agent/request/RequestHandler.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/request/RequestHandler.kt
@@ -18,9 +18,9 @@
 import org.greengagepass.core.process.SlotGranted
 import org.greengagepass.core.process.SlotRequest
 import org.greengagepass.core.request.RequestOutcome
-import org.greengagepass.platform.process.Announcement
 import org.greengagepass.protocol.connection.EntryMessage.Dispatch
 import org.greengagepass.protocol.connection.ServiceState
+import org.greengagepass.services.process.Announcement
 
 /** What to do about a request. */
 internal sealed class RequestAction {
--- a/agent/src/main/kotlin/org/greengagepass/agent/request/RequestService.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/request/RequestService.kt
@@ -14,11 +14,11 @@
 import org.greengagepass.core.connection.AttemptId
 import org.greengagepass.core.connection.Inquiry
 import org.greengagepass.core.connection.InquiryResult
-import org.greengagepass.platform.process.Announcement
-import org.greengagepass.platform.process.UpstreamRequest
-import org.greengagepass.platform.process.UpstreamService
 import org.greengagepass.protocol.connection.AgentMessage
 import org.greengagepass.protocol.connection.EntryMessage.Dispatch
+import org.greengagepass.services.process.Announcement
+import org.greengagepass.services.process.UpstreamRequest
+import org.greengagepass.services.process.UpstreamService
 import kotlin.random.Random
 
 /** What the service needs around it. */
--- a/agent/src/test/kotlin/org/greengagepass/agent/AgentTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/AgentTest.kt
@@ -15,11 +15,11 @@
 import org.greengagepass.core.connection.InquiryResult
 import org.greengagepass.core.process.ReleaseReason
 import org.greengagepass.core.request.RequestOutcome
-import org.greengagepass.platform.process.AttemptState
 import org.greengagepass.protocol.connection.AgentMessage
 import org.greengagepass.protocol.connection.EntryMessage
 import org.greengagepass.protocol.connection.TaskChange
 import org.greengagepass.protocol.connection.TaskCommand
+import org.greengagepass.services.process.AttemptState
 import org.greengagepass.standins.request.ExecutorBehaviour
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
--- a/agent/src/test/kotlin/org/greengagepass/agent/Platform.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/Platform.kt
@@ -13,7 +13,7 @@
 import org.greengagepass.core.RackName
 import org.greengagepass.core.Resources
 import org.greengagepass.core.ServiceName
-import org.greengagepass.platform.process.Announcement
+import org.greengagepass.services.process.Announcement
 import org.greengagepass.standins.process.SimulatedWorker
 import org.greengagepass.standins.process.WorkerRoutes
 import org.greengagepass.standins.process.monotonicClock
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/TaskSupervisorTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/TaskSupervisorTest.kt
@@ -17,13 +17,13 @@
 import org.greengagepass.core.Resources
 import org.greengagepass.core.ResultCode
 import org.greengagepass.core.Timestamp
-import org.greengagepass.platform.process.AttemptState
-import org.greengagepass.platform.process.PlatformError
-import org.greengagepass.platform.process.RefusalBody
-import org.greengagepass.platform.process.RenewBody
 import org.greengagepass.protocol.connection.EntryMessage.Grant
 import org.greengagepass.protocol.connection.TaskChange
 import org.greengagepass.protocol.connection.TaskStart
+import org.greengagepass.services.process.AttemptState
+import org.greengagepass.services.process.PlatformError
+import org.greengagepass.services.process.RefusalBody
+import org.greengagepass.services.process.RenewBody
 import org.greengagepass.standins.process.SimulatedWorker
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
--- a/agent/src/test/kotlin/org/greengagepass/agent/request/RequestHandlerTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/request/RequestHandlerTest.kt
@@ -15,8 +15,8 @@
 import org.greengagepass.core.connection.Inquiry
 import org.greengagepass.core.request.Answer
 import org.greengagepass.core.request.RequestOutcome
-import org.greengagepass.platform.process.Announcement
 import org.greengagepass.protocol.connection.EntryMessage.Dispatch
+import org.greengagepass.services.process.Announcement
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.hasSize
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -0,0 +1,96 @@
+/*
+ * A host as the scheduler knows it: what it is, what it holds, and how long its lease lasts.
+ */
+package org.greengagepass.core.process.jobs
+
+import org.greengagepass.core.Resources
+import org.greengagepass.core.Timestamp
+
+/** A run on a host, from the decision to start it until its end is known. */
+public class HeldRun internal constructor(
+    public val entry: TaskEntry,
+    public val run: TaskRun,
+    public val placedAt: Timestamp,
+) {
+    /** True once the host has confirmed the start. */
+    public var isConfirmed: Boolean = false
+        internal set
+
+    /** When the host was last asked to stop the run, or null. */
+    public var stopRequestedAt: Timestamp? = null
+        internal set
+
+    /** The last report of the run, or null. */
+    public var lastSeen: RunningTask? = null
+        internal set
+
+    /** True if an order about the run went to the agent that is connected now. */
+    internal var isOrdered: Boolean = false
+
+    /** Looks up to this number may not show the run although the host holds it; no answer is known before. */
+    internal var settledAfterLook: Long = Long.MAX_VALUE
+
+    /** True if the host answered that the run can't start any more. */
+    internal var isRuledOut: Boolean = false
+
+    /** Since when the run has made no progress, or null. */
+    internal var stalledSince: Timestamp? = null
+
+    /** Share of full speed that the scheduler has asked for. */
+    internal var pacePercent: Int = FULL_PACE_PERCENT
+
+    public companion object {
+        /** A task that is not slowed. */
+        public const val FULL_PACE_PERCENT: Int = 100
+    }
+}
+
+/** One life of a host. */
+public class Host internal constructor(
+    description: HostDescription,
+) {
+    /** What the host says of itself. */
+    public var description: HostDescription = description
+        internal set
+
+    /** Runs that the host holds or may hold, by task. */
+    public val runs: MutableMap<TaskKey, HeldRun> = LinkedHashMap()
+
+    /** True while the host's agent is connected. */
+    public var isConnected: Boolean = false
+        internal set
+
+    /** When the leases granted to the host have surely lapsed, by the scheduler's clock. */
+    public var lapsesAt: Timestamp = Timestamp(Long.MIN_VALUE)
+        internal set
+
+    /** Reading of the host's clock until which it holds its tasks. */
+    public var leaseUntilHostClock: Long = 0
+        internal set
+
+    /** Ends up to this number are in the scheduler's state. */
+    internal var processedEnds: Long = 0
+
+    /** The host gets no new tasks before this time. */
+    internal var pausedUntil: Timestamp = Timestamp(Long.MIN_VALUE)
+
+    /** The life of the host. */
+    public val incarnation: HostIncarnation
+        get() = description.incarnation
+
+    /** What the runs on the host have reserved. */
+    public fun reserved(): Resources =
+        runs.values.fold(Resources.NONE) { sum, held -> sum + held.entry.step.reservation }
+
+    /** Processor time that tasks which use what others leave ask for. */
+    public fun spareDemandMilliCores(): Long =
+        runs.values
+            .filter { it.entry.step.sharing.usesSpareProcessor }
+            .sumOf { it.entry.step.demand.milliCores }
+
+    /** True if a serving task with a bound on its latency runs on the host. */
+    public fun hasServingTask(): Boolean =
+        runs.values.any {
+            it.entry.step.sharing.latencyTargetMillis != null
+        }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -0,0 +1,166 @@
+/*
+ * Compares hosts for one task: what is free, who else is there, where the data is, and what the host did before.
+ */
+package org.greengagepass.core.process.jobs
+
+import org.greengagepass.core.Resources
+
+/** What is left of a host during one round. */
+internal class HostRoom(
+    val host: Host,
+) {
+    private var reserved = host.reserved()
+
+    /** Processor time that tasks which use what others leave ask for on the host. */
+    var spareDemandMilliCores: Long = host.spareDemandMilliCores()
+        private set
+
+    /** True if a serving task with a bound on its latency is there or has been placed in this round. */
+    var hasServingTask: Boolean = host.hasServingTask()
+        private set
+
+    /** Processor time that nothing has reserved. */
+    val freeMilliCores: Long
+        get() = host.description.capacity.milliCores - reserved.milliCores
+
+    /** The largest reserved share of the host's resources, 0 to 1. */
+    val reservedShare: Double
+        get() = share(reserved, host.description.capacity)
+
+    fun take(step: StepSpecification) {
+        reserved += step.reservation
+        if (step.sharing.usesSpareProcessor) spareDemandMilliCores += step.demand.milliCores
+        if (step.sharing.latencyTargetMillis != null) hasServingTask = true
+    }
+
+    fun giveBack(step: StepSpecification) {
+        reserved -= step.reservation
+        if (step.sharing.usesSpareProcessor) spareDemandMilliCores -= step.demand.milliCores
+    }
+
+    fun fits(step: StepSpecification): Boolean = (reserved + step.reservation).fitsIn(host.description.capacity)
+
+    /** Demand for spare processor time over what is spare, with one more task of [step]. */
+    fun spareLoadWith(step: StepSpecification): Double {
+        val demand = spareDemandMilliCores + step.demand.milliCores
+        return demand.toDouble() / freeMilliCores.coerceAtLeast(1)
+    }
+
+    private fun share(
+        part: Resources,
+        whole: Resources,
+    ): Double =
+        maxOf(
+            part.milliCores.toDouble() / whole.milliCores.coerceAtLeast(1),
+            part.memoryMegabytes.toDouble() / whole.memoryMegabytes.coerceAtLeast(1),
+        )
+}
+
+/** Finds the best host for a task. */
+internal class HostScoring(
+    private val state: SchedulerState,
+) {
+    /** The host with the lowest score that may take [entry], one of [siblings], or null. */
+    fun best(
+        entry: TaskEntry,
+        siblings: List<TaskEntry>,
+        pool: List<HostRoom>,
+    ): HostRoom? =
+        pool
+            .filter { mayTake(entry, siblings, it) }
+            .minByOrNull { score(entry, siblings, it) }
+
+    private fun mayTake(
+        entry: TaskEntry,
+        siblings: List<TaskEntry>,
+        room: HostRoom,
+    ): Boolean =
+        room.fits(entry.step) &&
+            entry.key !in room.host.runs &&
+            hasLabel(entry.step.constraints, room.host) &&
+            hasSpareRoom(entry.step, room) &&
+            isSpread(entry.step.constraints, siblings, room.host)
+
+    private fun hasLabel(
+        constraints: StepConstraints,
+        host: Host,
+    ): Boolean = constraints.requiredLabel == null || constraints.requiredLabel in host.description.labels
+
+    /** Runs that are being stopped count too, since they are there until their end is listed. */
+    private fun isSpread(
+        constraints: StepConstraints,
+        siblings: List<TaskEntry>,
+        host: Host,
+    ): Boolean {
+        val maximum = constraints.tasksPerHostMaximum ?: return true
+        return siblings.count { it.key in host.runs } < maximum
+    }
+
+    /** A single task may take more than is spare, or it could never run on a small host. */
+    private fun hasSpareRoom(
+        step: StepSpecification,
+        room: HostRoom,
+    ): Boolean =
+        !step.sharing.usesSpareProcessor ||
+            room.spareDemandMilliCores == 0L ||
+            room.spareLoadWith(step) <= SPARE_LOAD_MAXIMUM
+
+    private fun score(
+        entry: TaskEntry,
+        siblings: List<TaskEntry>,
+        room: HostRoom,
+    ): Double {
+        val step = entry.step
+        val description = room.host.description
+        // Serving tasks go where others of their kind are, so that fewer hosts mix them with tasks that disturb them.
+        val load = if (step.sharing.latencyTargetMillis != null) -room.reservedShare else room.reservedShare
+        var score = load + neighbourCost(step, room)
+        if (step.constraints.dataRack != null &&
+            step.constraints.dataRack != description.rack
+        ) {
+            score += REMOTE_DATA_COST
+        }
+        if (step.constraints.prefersOneRack) score += rackCost(siblings, room)
+        if (entry.failedOn?.host == description.incarnation.host) score += FAILED_HERE_COST
+        return score + FAILURE_COST * state.reliability.failuresOf(description.incarnation)
+    }
+
+    private fun neighbourCost(
+        step: StepSpecification,
+        room: HostRoom,
+    ): Double =
+        when {
+            step.sharing.usesSpareProcessor ->
+                room.spareLoadWith(step) + if (room.hasServingTask) SERVING_NEIGHBOUR_COST else 0.0
+            step.sharing.latencyTargetMillis != null -> SERVING_NEIGHBOUR_COST * spareLoad(room)
+            else -> 0.0
+        }
+
+    private fun spareLoad(room: HostRoom): Double =
+        room.spareDemandMilliCores.toDouble() / room.freeMilliCores.coerceAtLeast(1)
+
+    private fun rackCost(
+        siblings: List<TaskEntry>,
+        room: HostRoom,
+    ): Double {
+        val racks = siblings.mapNotNull { it.placedOn }.mapNotNull { state.hosts[it]?.description?.rack }
+        return if (racks.isEmpty() || room.host.description.rack in racks) 0.0 else REMOTE_DATA_COST
+    }
+
+    private companion object {
+        /** Demand over spare processor time up to which tasks that use it are added; above it they only share. */
+        private const val SPARE_LOAD_MAXIMUM = 1.05
+
+        /** A remote task takes about half as long again, which is worse than any difference in load. */
+        private const val REMOTE_DATA_COST = 2.0
+
+        /** Tasks that fill spare processor time slow down serving tasks, so they meet only without other room. */
+        private const val SERVING_NEIGHBOUR_COST = 1.5
+
+        /** The host on which a task failed is taken only if there is no other. */
+        private const val FAILED_HERE_COST = 10.0
+
+        /** One unexplained failure outweighs an even load. */
+        private const val FAILURE_COST = 1.0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Job.kt
@@ -0,0 +1,116 @@
+/*
+ * A job in the memory of the scheduler: its definition, its tasks and what became of it.
+ */
+package org.greengagepass.core.process.jobs
+
+import kotlinx.serialization.Serializable
+
+/** What became of a job. */
+@Serializable
+public enum class JobOutcome {
+    /** Tasks are still to be done. */
+    ACTIVE,
+
+    /** Every task is done. */
+    COMPLETED,
+
+    /** A task used up its attempts. */
+    FAILED,
+
+    /** The caller cancelled the job. */
+    CANCELLED,
+}
+
+/** What a caller is told of a job. */
+@Serializable
+public enum class JobStatus {
+    QUEUED,
+    IN_PROGRESS,
+    COMPLETED,
+    FAILED,
+    CANCELLED,
+}
+
+/** A job and its tasks. */
+public class Job(
+    public val id: JobId,
+    public val definition: JobDefinition,
+) {
+    private val steps = definition.specification.steps
+    private val tasksPerOccurrence = steps.sumOf { it.taskCount }
+    private val firstPositions = steps.runningFold(0) { sum, step -> sum + step.taskCount }
+
+    /** All tasks, by occurrence, step and index. */
+    public val tasks: List<TaskEntry> =
+        (0 until definition.specification.occurrences).flatMap { occurrence ->
+            steps.flatMapIndexed { number, step ->
+                (0 until step.taskCount).map { TaskEntry(TaskKey(id, occurrence, number, it), step) }
+            }
+        }
+
+    /** What became of the job. */
+    public var outcome: JobOutcome = JobOutcome.ACTIVE
+        internal set
+
+    /** True once a task was given to a host. */
+    public var hasBegun: Boolean = false
+        internal set
+
+    /** When the job ended, for its retention; null while it is active. */
+    public var endedAtEpochMillis: Long? = null
+        internal set
+
+    /** Time by which the job meets its objective, from its longest chain of estimated work. */
+    public val objectiveEpochMillis: Long =
+        definition.acceptedAtEpochMillis + definition.queue.latencyTargetMillis +
+            (definition.queue.stretchFactor * longestChainMillis()).toLong()
+
+    /** The task with [key], or null if the job has none such. */
+    public fun task(key: TaskKey): TaskEntry? = tasksOf(key.occurrence, key.step).getOrNull(key.index)
+
+    /** The tasks of [step] in [occurrence]. */
+    public fun tasksOf(
+        occurrence: Int,
+        step: Int,
+    ): List<TaskEntry> {
+        if (step !in steps.indices || occurrence !in 0 until definition.specification.occurrences) return emptyList()
+        val first = occurrence * tasksPerOccurrence + firstPositions[step]
+        return tasks.subList(first, first + steps[step].taskCount)
+    }
+
+    /** True if the tasks of [step] in [occurrence] may start at [nowEpochMillis]. */
+    public fun isReady(
+        occurrence: Int,
+        step: Int,
+        nowEpochMillis: Long,
+    ): Boolean {
+        val due = definition.specification.schedule?.dueAtEpochMillis(occurrence) ?: Long.MIN_VALUE
+        return nowEpochMillis >= due && steps[step].dependsOn.all { isStepDone(occurrence, it) }
+    }
+
+    /** What a caller is told. */
+    public fun status(): JobStatus =
+        when (outcome) {
+            JobOutcome.COMPLETED -> JobStatus.COMPLETED
+            JobOutcome.FAILED -> JobStatus.FAILED
+            JobOutcome.CANCELLED -> JobStatus.CANCELLED
+            JobOutcome.ACTIVE -> if (hasBegun) JobStatus.IN_PROGRESS else JobStatus.QUEUED
+        }
+
+    /** True if no task is left to do. */
+    internal fun isAllDone(): Boolean = tasks.all { it.state == TaskState.Done }
+
+    private fun isStepDone(
+        occurrence: Int,
+        step: Int,
+    ): Boolean = tasksOf(occurrence, step).all { it.state == TaskState.Done }
+
+    private fun longestChainMillis(): Long {
+        val ends = LongArray(steps.size)
+        steps.forEachIndexed { number, step ->
+            val begin = step.dependsOn.filter { it < number }.maxOfOrNull { ends[it] } ?: 0
+            ends[number] = begin + step.estimatedMillis
+        }
+        return ends.maxOrNull() ?: 0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobIdentifiers.kt
@@ -0,0 +1,44 @@
+/*
+ * Identifiers of jobs, their tasks, the runs of a task and the lives of a host.
+ */
+package org.greengagepass.core.process.jobs
+
+import kotlinx.serialization.Serializable
+import org.greengagepass.core.HostId
+
+/** Identifies a job; the caller chooses it, so that a repeated submission is recognised. */
+@JvmInline
+@Serializable
+public value class JobId(
+    public val value: String,
+)
+
+/** Name of a queue, as the operators write it. */
+@JvmInline
+@Serializable
+public value class QueueName(
+    public val value: String,
+)
+
+/** One task: the [index]-th of [step] in [occurrence] of [job]. */
+@Serializable
+public data class TaskKey(
+    val job: JobId,
+    val occurrence: Int,
+    val step: Int,
+    val index: Int,
+)
+
+/** One start of a task; numbers rise with every start of the same task. */
+@Serializable
+public data class TaskRun(
+    val task: TaskKey,
+    val number: Int,
+)
+
+/** One life of a host's executor. What ran in an earlier life is gone. */
+@Serializable
+public data class HostIncarnation(
+    val host: HostId,
+    val startedAtEpochMillis: Long,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobRecords.kt
@@ -0,0 +1,120 @@
+/*
+ * What is stored of a job: its definition once, and its progress whenever that changes. The newest progress replaces
+ * all earlier ones, so that a new scheduler reads one record of each kind for each job and nothing else.
+ */
+package org.greengagepass.core.process.jobs
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborArray
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+
+/** A record of the scheduler's state; without a value it removes its key. */
+public data class StateRecord(
+    val key: String,
+    val value: ByteArray?,
+) {
+    override fun equals(other: Any?): Boolean =
+        other is StateRecord && key == other.key && value.contentEquals(other.value)
+
+    override fun hashCode(): Int = key.hashCode()
+}
+
+/** State of one task that is no longer in its first state. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@CborArray
+internal data class TaskRow(
+    val position: Int,
+    val isDone: Boolean,
+    val run: Int,
+    val failures: Int,
+    /** Index of the holder in [JobProgress.hosts]; -1 without one. */
+    val host: Int,
+    val checkpoint: String,
+)
+
+/** The changing part of a job. */
+@Serializable
+internal data class JobProgress(
+    val outcome: JobOutcome,
+    val hasBegun: Boolean,
+    val endedAtEpochMillis: Long?,
+    val hosts: List<HostIncarnation>,
+    val tasks: List<TaskRow>,
+)
+
+/** Translates jobs to records and back. */
+@OptIn(ExperimentalSerializationApi::class)
+internal object JobRecords {
+    private const val DEFINITION_PREFIX = "definition/"
+    private const val PROGRESS_PREFIX = "progress/"
+    private val format = Cbor { ignoreUnknownKeys = true }
+
+    fun definition(job: Job): StateRecord =
+        StateRecord(DEFINITION_PREFIX + job.id.value, format.encodeToByteArray(job.definition))
+
+    fun progress(job: Job): StateRecord =
+        StateRecord(PROGRESS_PREFIX + job.id.value, format.encodeToByteArray(progressOf(job)))
+
+    fun removals(id: JobId): List<StateRecord> =
+        listOf(StateRecord(DEFINITION_PREFIX + id.value, null), StateRecord(PROGRESS_PREFIX + id.value, null))
+
+    /** The jobs in [records], the newest record of each key. */
+    fun jobs(records: List<StateRecord>): List<Job> {
+        val values = records.mapNotNull { record -> record.value?.let { record.key to it } }.toMap()
+        return values.keys
+            .filter { it.startsWith(DEFINITION_PREFIX) }
+            .map { key ->
+                val id = JobId(key.removePrefix(DEFINITION_PREFIX))
+                val job = Job(id, format.decodeFromByteArray(values.getValue(key)))
+                values[PROGRESS_PREFIX + id.value]?.let { restore(job, format.decodeFromByteArray(it)) }
+                job
+            }
+    }
+
+    private fun progressOf(job: Job): JobProgress {
+        val hosts = job.tasks.mapNotNull { it.placedOn }.distinct()
+        val rows =
+            job.tasks.mapIndexedNotNull { position, task ->
+                TaskRow(
+                    position = position,
+                    isDone = task.state == TaskState.Done,
+                    run = task.lastRun,
+                    failures = task.failures,
+                    host = hosts.indexOf(task.placedOn),
+                    checkpoint = if (task.state == TaskState.Done) "" else task.checkpoint,
+                ).takeIf { task.lastRun > 0 }
+            }
+        return JobProgress(job.outcome, job.hasBegun, job.endedAtEpochMillis, hosts, rows)
+    }
+
+    private fun restore(
+        job: Job,
+        progress: JobProgress,
+    ) {
+        job.outcome = progress.outcome
+        job.hasBegun = progress.hasBegun
+        job.endedAtEpochMillis = progress.endedAtEpochMillis
+        progress.tasks.forEach { row ->
+            val task = job.tasks[row.position]
+            task.lastRun = row.run
+            task.failures = row.failures
+            task.checkpoint = row.checkpoint
+            task.state =
+                when {
+                    row.isDone -> TaskState.Done
+                    row.host >= 0 -> TaskState.Placed(progress.hosts[row.host])
+                    else -> TaskState.Waiting
+                }
+        }
+    }
+}
+
+/** Reads stored jobs. */
+public object StoredJobs {
+    /** The jobs in [records], the newest record of each key. */
+    public fun decode(records: List<StateRecord>): List<Job> = JobRecords.jobs(records)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
@@ -0,0 +1,65 @@
+/*
+ * The scheduler of jobs as one object: messages and the passing of time come in; records to store and effects come
+ * out. It has no clock, no network and no threads of its own.
+ */
+package org.greengagepass.core.process.jobs
+
+import org.greengagepass.core.Timestamp
+
+/** Changes to store, and what to do once they are. */
+public data class SchedulerBatch(
+    val change: BookChange,
+    val effects: List<SchedulerEffect>,
+)
+
+/** Schedules the jobs in [book] from [startedLeadingAt] on. */
+public class JobScheduler(
+    settings: SchedulerSettings,
+    book: JobBook,
+    startedLeadingAt: Timestamp,
+) {
+    /** What the scheduler knows. */
+    public val state: SchedulerState = SchedulerState(settings, book, startedLeadingAt)
+
+    private val transitions = RunTransitions(state)
+    private val placement = PlacementRound(state, transitions)
+    private val guard = InterferenceGuard(state)
+    private val stalls = StalledRuns(state, transitions)
+
+    /** Handles calls of callers. */
+    public val callers: CallerDecisions = CallerDecisions(state, transitions)
+
+    /** Handles messages of hosts. */
+    public val hosts: HostDecisions = HostDecisions(state, transitions)
+
+    /** Takes a newer configuration. */
+    public fun configure(configuration: JobConfiguration) {
+        if (configuration.version >= state.configuration.version) state.configuration = configuration
+    }
+
+    /** Does what time brings. Tasks are placed only if [mayStart]. */
+    public fun tick(
+        moment: Moment,
+        mayStart: Boolean,
+    ) {
+        hosts.expireLeases(moment.now)
+        stalls.stop(moment)
+        guard.adjust(moment)
+        if (mayStart) placement.run(moment)
+        state.book.forgetEndedBefore(moment.epochMillis - state.settings.retentionMillis)
+    }
+
+    /** Effects that don't wait for the store. */
+    public fun takeImmediate(): List<SchedulerEffect> = state.outbox.takeImmediate()
+
+    /** What has to be stored next, or null if there is nothing to store and nothing waits for it. */
+    public fun takeBatch(): SchedulerBatch? =
+        if (state.book.hasChanges || state.outbox.waitsForStore) {
+            SchedulerBatch(state.book.takeChanges(), state.outbox.takeAfterStore())
+        } else {
+            null
+        }
+
+    /** [batch] is stored. */
+    public fun stored(batch: SchedulerBatch): Unit = state.book.stored(batch.change)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
@@ -0,0 +1,123 @@
+/*
+ * Gives waiting tasks to hosts. Jobs come by the priority of their queue and then by their objective, so that under
+ * load the work whose objective is nearest goes first; each task takes the host with the lowest score of those that
+ * have room.
+ */
+package org.greengagepass.core.process.jobs
+
+import org.greengagepass.core.Resources
+
+/** Places tasks of [state]. */
+internal class PlacementRound(
+    private val state: SchedulerState,
+    private val transitions: RunTransitions,
+) {
+    private val scoring = HostScoring(state)
+
+    /** Places what can be placed at [moment]. */
+    fun run(moment: Moment) {
+        val rooms =
+            state.hosts
+                .all()
+                .filter { isEligible(it, moment) }
+                .map { HostRoom(it) }
+        if (rooms.isEmpty()) return
+        val waitedFor = HashSet<PlacementClass>()
+        state.book.active.values
+            .sortedWith(compareBy({ state.queueOf(it).priority }, { it.objectiveEpochMillis }))
+            .forEach { placeJob(it, rooms, waitedFor, moment) }
+    }
+
+    private fun isEligible(
+        host: Host,
+        moment: Moment,
+    ): Boolean =
+        host.isConnected &&
+            !host.description.isDraining &&
+            host.leaseUntilHostClock > 0 &&
+            moment.now >= host.pausedUntil &&
+            host.description.failureDomain !in state.configuration.failureDomainsOut
+
+    private fun placeJob(
+        job: Job,
+        rooms: List<HostRoom>,
+        waitedFor: MutableSet<PlacementClass>,
+        moment: Moment,
+    ) {
+        val pool = rooms.filter { it.host.description.pool == state.queueOf(job).pool }
+        val steps = job.definition.specification.steps
+        for (occurrence in 0 until job.definition.specification.occurrences) {
+            steps.indices
+                .filter { job.isReady(occurrence, it, moment.epochMillis) }
+                .forEach { step ->
+                    val tasks = job.tasksOf(occurrence, step)
+                    when (steps[step].coordination) {
+                        StepCoordination.INDEPENDENT -> placeSingly(job, tasks, pool, waitedFor, moment)
+                        StepCoordination.GANG -> placeTogether(job, tasks, pool, moment)
+                    }
+                }
+        }
+    }
+
+    /** [waitedFor] holds what found no room in this round, so that a long queue of equal tasks costs little. */
+    private fun placeSingly(
+        job: Job,
+        tasks: List<TaskEntry>,
+        pool: List<HostRoom>,
+        waitedFor: MutableSet<PlacementClass>,
+        moment: Moment,
+    ) {
+        val step = tasks.first().step
+        val placementClass = PlacementClass(state.queueOf(job).pool.value, step.demand, step.constraints, step.sharing)
+        if (placementClass in waitedFor) return
+        val waiting = tasks.filter { it.state == TaskState.Waiting }
+        val isPlaced = waiting.all { placeOne(job, it, tasks, pool, moment) }
+        if (!isPlaced && step.constraints.tasksPerHostMaximum == null) waitedFor += placementClass
+    }
+
+    private fun placeOne(
+        job: Job,
+        entry: TaskEntry,
+        siblings: List<TaskEntry>,
+        pool: List<HostRoom>,
+        moment: Moment,
+    ): Boolean {
+        val room = scoring.best(entry, siblings, pool) ?: return false
+        room.take(entry.step)
+        transitions.place(job, entry, room.host, entry.lastRun + 1, moment)
+        return true
+    }
+
+    private fun placeTogether(
+        job: Job,
+        tasks: List<TaskEntry>,
+        pool: List<HostRoom>,
+        moment: Moment,
+    ) {
+        if (tasks.any { it.state != TaskState.Waiting }) return
+        val taken = ArrayList<Pair<TaskEntry, HostRoom>>()
+        for (entry in tasks) {
+            val room = scoring.best(entry, tasks, pool)
+            if (room == null) {
+                taken.forEach { (member, used) -> used.giveBack(member.step) }
+                return
+            }
+            room.take(entry.step)
+            taken += entry to room
+        }
+        val number = tasks.maxOf { it.lastRun } + 1
+        val checkpoint = tasks.maxByOrNull { it.lastRun }?.checkpoint.orEmpty()
+        taken.forEach { (entry, room) ->
+            entry.checkpoint = checkpoint
+            transitions.place(job, entry, room.host, number, moment)
+        }
+    }
+}
+
+/** Tasks that fit the same hosts. */
+private data class PlacementClass(
+    val pool: String,
+    val demand: Resources,
+    val constraints: StepConstraints,
+    val sharing: StepSharing,
+)
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/OperatorsTest.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/OperatorsTest.kt
@@ -4,7 +4,7 @@
  */
 package org.greengagepass.endtoend
 
-import org.greengagepass.platform.process.AttemptState
+import org.greengagepass.services.process.AttemptState
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TaskHistory.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TaskHistory.kt
@@ -5,7 +5,7 @@
 package org.greengagepass.endtoend
 
 import org.greengagepass.core.FencingToken
-import org.greengagepass.platform.process.AttemptState
+import org.greengagepass.services.process.AttemptState
 import org.greengagepass.standins.process.HistoryEvent
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
--- a/entry/src/main/kotlin/org/greengagepass/entry/GreengagepassCommand.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/GreengagepassCommand.kt
@@ -10,6 +10,7 @@
 import org.greengagepass.entry.connection.WorkersCommand
 import org.greengagepass.entry.process.ConfigCommand
 import org.greengagepass.entry.process.ServeCommand
+import org.greengagepass.entry.process.jobs.ScheduleCommand
 import org.greengagepass.entry.request.TasksCommand
 import org.greengagepass.entry.version.FailureDomainsCommand
 import org.greengagepass.entry.version.ProfilesCommand
@@ -21,6 +22,7 @@
         versionOption(GreengagepassCommand::class.java.`package`.implementationVersion ?: "development")
         subcommands(
             ServeCommand(),
+            ScheduleCommand(),
             ConfigCommand(),
             ProfilesCommand(),
             FailureDomainsCommand(),
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -35,10 +35,10 @@
 import org.greengagepass.entry.version.ConfigurationService
 import org.greengagepass.entry.version.ConfigurationSnapshots
 import org.greengagepass.entry.version.ConfigurationSource
-import org.greengagepass.platform.process.HttpLogService
-import org.greengagepass.platform.process.LogService
-import org.greengagepass.platform.process.platformHttpClient
 import org.greengagepass.protocol.connection.FrameConnector
+import org.greengagepass.services.process.HttpLogService
+import org.greengagepass.services.process.LogService
+import org.greengagepass.services.process.platformHttpClient
 
 /** Runs an entry with [settings]. */
 public class EntryProcess(
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/OwnerLoop.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/OwnerLoop.kt
@@ -29,9 +29,9 @@
 import org.greengagepass.entry.connection.toMessage
 import org.greengagepass.entry.request.CallerRequest
 import org.greengagepass.entry.request.RequestRunner
-import org.greengagepass.platform.process.LogPage
-import org.greengagepass.platform.process.LogRecord
-import org.greengagepass.platform.process.LogService
+import org.greengagepass.services.process.LogPage
+import org.greengagepass.services.process.LogRecord
+import org.greengagepass.services.process.LogService
 import java.util.UUID
 
 /** What a partition needs of the process around it. */
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionSnapshots.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/PartitionSnapshots.kt
@@ -8,8 +8,8 @@
 import org.greengagepass.core.process.PartitionState
 import org.greengagepass.core.process.Snapshot
 import org.greengagepass.core.process.SnapshotChunk
-import org.greengagepass.platform.process.LogService
-import org.greengagepass.platform.process.PlatformError
+import org.greengagepass.services.process.LogService
+import org.greengagepass.services.process.PlatformError
 
 /** Takes and restores snapshots of the partition that [stream] describes. */
 public class PartitionSnapshots(
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/SnapshotStream.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/SnapshotStream.kt
@@ -9,9 +9,9 @@
 import arrow.core.right
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.BatchError
-import org.greengagepass.platform.process.LogRecord
-import org.greengagepass.platform.process.LogService
-import org.greengagepass.platform.process.PlatformError
+import org.greengagepass.services.process.LogRecord
+import org.greengagepass.services.process.LogService
+import org.greengagepass.services.process.PlatformError
 
 /** Reads and writes [stream]. */
 public class SnapshotStream(
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/StreamAppender.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/StreamAppender.kt
@@ -10,7 +10,7 @@
 import kotlinx.coroutines.delay
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.FencingToken
-import org.greengagepass.platform.process.LogService
+import org.greengagepass.services.process.LogService
 
 /** Batches records of type [R] for [stream]. */
 public class StreamAppender<R>(
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/StreamFollower.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/StreamFollower.kt
@@ -8,9 +8,9 @@
 import kotlinx.coroutines.delay
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.Timestamp
-import org.greengagepass.platform.process.LogPage
-import org.greengagepass.platform.process.LogService
-import org.greengagepass.platform.process.PlatformError
+import org.greengagepass.services.process.LogPage
+import org.greengagepass.services.process.LogService
+import org.greengagepass.services.process.PlatformError
 
 /** Follows [stream], starting at [fromOffset]. */
 public class StreamFollower(
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
@@ -0,0 +1,162 @@
+/*
+ * An entry on the platform: it serves callers, and leads the scheduler or follows the entry that does. Every decision
+ * runs on one dispatcher that never runs two coroutines at a time.
+ */
+package org.greengagepass.entry.process.jobs
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.Socket
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asExecutor
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.process.jobs.Moment
+import org.greengagepass.entry.process.MonotonicClock
+import org.greengagepass.entry.process.TcpListener
+import org.greengagepass.platform.JobServer
+import org.greengagepass.platform.LogOperatorFeed
+import org.greengagepass.platform.LogStateStore
+import org.greengagepass.platform.PlatformClient
+import org.greengagepass.platform.PlatformSettings
+import org.greengagepass.protocol.connection.FrameConnector
+import org.greengagepass.protocol.connection.FramedConnection
+import org.greengagepass.protocol.connection.FromScheduler
+import org.greengagepass.protocol.connection.MessageCodec
+import org.greengagepass.protocol.connection.SchedulerDialer
+import org.greengagepass.protocol.connection.ToScheduler
+import org.greengagepass.services.process.LeaderDirectory
+import org.greengagepass.services.process.platformHttpClient
+
+/** Runs an entry with [settings]. */
+public class JobEntryProcess(
+    private val settings: PlatformSettings,
+) {
+    private val decisions = Dispatchers.Default.limitedParallelism(1)
+    private val scope = CoroutineScope(SupervisorJob() + decisions)
+    private val client = PlatformClient(platformHttpClient(Dispatchers.IO.asExecutor()), settings.storeAddress)
+    private val store = LogStateStore(client)
+    private val identity = EntryIdentity(settings.processName, "${settings.listenHost}:${settings.internalPort}")
+    private val directory = LeaderDirectory(store) { logger.info("no announcement of a leader: {}", it.detail) }
+    private val metrics = JobEntryMetrics()
+    private val configuration = ConfigurationFollower(LogOperatorFeed(client), ::moment)
+    private val surroundings =
+        LeaderSurroundings(scope, store, ::moment, { configuration.forScheduler() }, DecisionLog(metrics.registry))
+    private val candidate = LeadershipCandidate(identity, settings.scheduler, directory, surroundings)
+    private val gateway = CallerGateway(decisions) { moment().now }
+    private val view = JobEntryView(configuration, gateway, metrics)
+    private val server =
+        JobServer(
+            callerAddress = requireNotNull(settings.callerAddress) { "no address for callers" },
+            readinessAddress = requireNotNull(settings.readinessAddress) { "no address for readiness" },
+            entry = view,
+            gateway = gateway,
+        )
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val listener = TcpListener(selector, settings.listenHost, settings.internalPort, ::serve)
+    private val line = LeaderLine(identity, settings.seedAddresses, directory, candidate, gateway)
+    private val dialer = SchedulerDialer(FrameConnector(Dispatchers.IO), scope, line)
+    private val stopped = CompletableDeferred<Unit>()
+    private var leader: Leader? = null
+
+    /** Serves until the process receives SIGTERM, then stops gracefully. */
+    public suspend fun runUntilStopped() {
+        Runtime.getRuntime().addShutdownHook(Thread { runBlocking { withContext(decisions) { stop() } } })
+        withContext(decisions) { start() }
+        stopped.await()
+    }
+
+    private suspend fun start() {
+        logger.info("entry {} starts at {}", identity.name, identity.address)
+        server.start()
+        listener.start(scope)
+        scope.launch { configuration.follow() }
+        scope.launch { directory.follow() }
+        scope.launch { dialer.run() }
+        scope.launch { leadWhenNeeded() }
+    }
+
+    private suspend fun leadWhenNeeded() {
+        while (!view.isStopping) {
+            val won = if (line.isUseful) null else candidate.tryLead()
+            if (won != null) lead(won)
+            delay(CANDIDATE_MILLIS)
+        }
+    }
+
+    private suspend fun lead(won: Leader) {
+        val local = LocalLine(won)
+        leader = won
+        directory.learn(won.leadership)
+        gateway.line.value = local
+        scope.launch { announce(won) }
+        won.run()
+        leader = null
+        gateway.line.compareAndSet(local, null)
+        local.lost()
+        logger.info("epoch {} has ended here", won.leadership.epoch.value)
+    }
+
+    private suspend fun announce(won: Leader) {
+        while (won.isActive && store.announce(won.leadership).isLeft()) delay(ANNOUNCE_RETRY_MILLIS)
+    }
+
+    private suspend fun serve(socket: Socket) {
+        val session =
+            FramedConnection(
+                socket,
+                MessageCodec(FromScheduler.serializer()),
+                MessageCodec(ToScheduler.serializer()),
+            )
+        session.start(scope)
+        val hello = withTimeoutOrNull(SchedulerDialer.SILENCE_MILLIS) { session.receive().getOrNull() }
+        val leading = leader?.takeIf { it.isActive }
+        if (hello != null && leading != null) {
+            leading.serve(session, hello)
+            session.close()
+        } else {
+            session.send(FromScheduler.NotLeading(directory.newest?.address))
+            session.closeAfterQueued()
+        }
+    }
+
+    private suspend fun stop() {
+        logger.info("entry {} stops with {} requests in progress", identity.name, server.requestsInProgress)
+        view.isStopping = true
+        val deadline = moment().now.plusMillis(settings.shutdownMillis * STOP_PERCENT / PERCENT)
+        val rotationEnds = moment().now.plusMillis(ROTATION_MILLIS)
+        listener.close()
+        leader?.end()
+        while (moment().now < deadline && (moment().now < rotationEnds || server.requestsInProgress > 0)) {
+            delay(STOP_POLL_MILLIS)
+        }
+        server.stop()
+        scope.cancel()
+        logger.info("entry {} has stopped", identity.name)
+        stopped.complete(Unit)
+        LogManager.shutdown()
+    }
+
+    private fun moment() = Moment(MonotonicClock.SYSTEM.now(), System.currentTimeMillis())
+
+    private companion object {
+        private val logger = LogManager.getLogger(JobEntryProcess::class.java)
+        private const val CANDIDATE_MILLIS = 40L
+        private const val ANNOUNCE_RETRY_MILLIS = 200L
+        private const val STOP_POLL_MILLIS = 50L
+
+        /** The balancer takes an entry out of rotation after two looks, one a second. */
+        private const val ROTATION_MILLIS = 2_500L
+
+        /** Share of the time until the process is killed that it uses to finish requests. */
+        private const val STOP_PERCENT = 80
+        private const val PERCENT = 100
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeaderLine.kt
@@ -0,0 +1,76 @@
+/*
+ * This entry's connection to the leader in another process.
+ */
+package org.greengagepass.entry.process.jobs
+
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.Epoch
+import org.greengagepass.protocol.connection.FramedConnection
+import org.greengagepass.protocol.connection.FromScheduler
+import org.greengagepass.protocol.connection.PROTOCOL_VERSION
+import org.greengagepass.protocol.connection.SchedulerLineEvents
+import org.greengagepass.protocol.connection.ToScheduler
+import org.greengagepass.services.process.LeaderDirectory
+
+/** Keeps the gateway's line up to date and tells [candidate] what it learns of the leader. */
+internal class LeaderLine(
+    private val identity: EntryIdentity,
+    private val seedAddresses: List<String>,
+    private val directory: LeaderDirectory,
+    private val candidate: LeadershipCandidate,
+    private val gateway: CallerGateway,
+) : SchedulerLineEvents {
+    private var remote: RemoteLine? = null
+    private var canLeaderStore = true
+
+    /** True while the leader is connected and can store what it decides. */
+    val isUseful: Boolean
+        get() = remote != null && canLeaderStore
+
+    override fun addresses(): List<String> =
+        (listOfNotNull(directory.newest?.address) + seedAddresses).filter { it != identity.address }
+
+    override fun hello(): ToScheduler? =
+        ToScheduler
+            .EntryHello(PROTOCOL_VERSION, identity.name)
+            .takeIf { gateway.line.value !is LocalLine }
+
+    override fun onConnected(
+        epoch: Epoch,
+        line: FramedConnection<ToScheduler, FromScheduler>,
+    ) {
+        logger.info("follows the leader of epoch {} at {}", epoch.value, line.remoteAddress)
+        val connected = RemoteLine(line)
+        remote = connected
+        canLeaderStore = true
+        candidate.onContact()
+        if (gateway.line.value !is LocalLine) gateway.line.value = connected
+    }
+
+    override fun onMessage(message: FromScheduler) {
+        when (message) {
+            is FromScheduler.Answer -> remote?.answered(message)
+            is FromScheduler.Pong -> {
+                canLeaderStore = message.canStore
+                if (message.canStore) candidate.onContact()
+            }
+            else -> Unit
+        }
+    }
+
+    override fun onDisconnected() {
+        logger.info("the connection to the leader is lost")
+        val lost = remote
+        remote = null
+        gateway.line.compareAndSet(lost, null)
+        lost?.lost()
+    }
+
+    override fun onNotLeading(address: String) {
+        candidate.onNotLeading(address)
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger(LeaderLine::class.java)
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
@@ -0,0 +1,133 @@
+/*
+ * Decides when this entry tries to lead, and tries. A leader that is certainly gone is followed at once; one that is
+ * only silent may be cut off from this entry alone, so the store must first show that it writes no more.
+ */
+package org.greengagepass.entry.process.jobs
+
+import kotlinx.coroutines.delay
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.process.jobs.JobBook
+import org.greengagepass.core.process.jobs.JobScheduler
+import org.greengagepass.core.process.jobs.SchedulerSettings
+import org.greengagepass.core.process.jobs.StoredJobs
+import org.greengagepass.services.process.AppendIdentity
+import org.greengagepass.services.process.LeaderDirectory
+import org.greengagepass.services.process.Leadership
+import org.greengagepass.services.process.StateSnapshot
+import org.greengagepass.services.process.StoreFailure
+import kotlin.random.Random
+
+/** Who this entry is. */
+public data class EntryIdentity(
+    val name: String,
+    val address: String,
+)
+
+/** Tries to lead as [identity]. */
+public class LeadershipCandidate(
+    private val identity: EntryIdentity,
+    private val settings: SchedulerSettings,
+    private val directory: LeaderDirectory,
+    private val surroundings: LeaderSurroundings,
+    private val random: Random = Random.Default,
+) {
+    private var lastContactAt: Timestamp = surroundings.clock().now
+    private var deniedAddress: String? = null
+    private var epochFloor = Epoch.NONE
+
+    /** The leader was heard of at this moment, and can store what it decides. */
+    public fun onContact() {
+        lastContactAt = surroundings.clock().now
+        deniedAddress = null
+    }
+
+    /** The process at [address] certainly does not lead. */
+    public fun onNotLeading(address: String) {
+        deniedAddress = address
+    }
+
+    /** A new leadership of this entry, once it has one; null if it should follow another. */
+    public suspend fun tryLead(): Leader? {
+        val known = directory.newest
+        val silentMillis = surroundings.clock().now.millisSince(lastContactAt)
+        val isGone = known == null || known.address == identity.address || known.address == deniedAddress
+        return when {
+            !directory.hasRead -> null
+            isGone -> {
+                delay(random.nextLong(CLAIM_SPREAD_MILLIS))
+                if (directory.newest == known) claim(known) else null
+            }
+            silentMillis >= SILENCE_MILLIS && hasStoppedWriting() -> claim(known)
+            else -> null
+        }
+    }
+
+    private suspend fun hasStoppedWriting(): Boolean {
+        val end = surroundings.store.end().getOrNull() ?: return false
+        return surroundings.store.growsBeyond(end, OBSERVATION_MILLIS).fold({ false }, { grows -> !grows })
+    }
+
+    private suspend fun claim(known: Leadership?): Leader? =
+        surroundings.store.read().fold(
+            { failure ->
+                logger.info("the state can't be read: {}", failure.detail)
+                null
+            },
+            { snapshot -> if (isStillWanted(snapshot.leadership, known)) append(snapshot) else null },
+        )
+
+    /** False if another entry has begun to lead since [known]. */
+    private fun isStillWanted(
+        stored: Leadership?,
+        known: Leadership?,
+    ): Boolean {
+        val isNews = stored != null && stored.epoch > (known?.epoch ?: Epoch.NONE)
+        if (isNews) directory.learn(stored)
+        return !isNews || stored.address == identity.address
+    }
+
+    private suspend fun append(snapshot: StateSnapshot): Leader? {
+        val epoch = maxOf(snapshot.leadership?.epoch ?: Epoch.NONE, epochFloor).next()
+        val leadership = Leadership(epoch, identity.name, identity.address)
+        // Two entries may claim the same epoch; with the same number one would be taken for a repeat of the other.
+        val sequence = random.nextLong(SEQUENCES)
+        val asked = surroundings.clock()
+        val record = surroundings.store.leadershipRecord(leadership)
+        val result = surroundings.store.append(AppendIdentity(epoch, sequence), listOf(record), snapshot.end)
+        result.leftOrNull()?.let { failure ->
+            logger.info("epoch {} was not won: {}", epoch.value, failure.detail)
+            if (failure is StoreFailure.Fenced) epochFloor = epoch
+            return null
+        }
+        val proof = LeadershipProof(settings.leadershipMillis)
+        proof.confirm(asked)
+        val now = surroundings.clock().now
+        val jobs = StoredJobs.decode(snapshot.records)
+        logger.info("leads epoch {} with {} jobs", epoch.value, jobs.size)
+        return Leader(
+            leadership = leadership,
+            scheduler = JobScheduler(settings, JobBook(jobs), now),
+            writer = StateWriter(surroundings.store, epoch, sequence + 1, surroundings.clock, proof),
+            proof = proof,
+            surroundings = surroundings,
+        )
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger(LeadershipCandidate::class.java)
+
+        /** Keeps entries that lost a leader together from claiming at the same moment. */
+        private const val CLAIM_SPREAD_MILLIS = 60L
+
+        /** Two pings without an answer. */
+        private const val SILENCE_MILLIS = 900L
+
+        /** A leader writes every 400 ms at least; a slow store adds some hundred. */
+        private const val OBSERVATION_MILLIS = 1_200L
+
+        /** Numbers from which an epoch's first one is drawn. */
+        private const val SEQUENCES = 1_000_000_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
@@ -0,0 +1,99 @@
+/*
+ * Writes the scheduler's state, one append at a time. A failed append is repeated under its sequence number until the
+ * store answers, so that nothing is written twice or out of order.
+ */
+package org.greengagepass.entry.process.jobs
+
+import kotlinx.coroutines.delay
+import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.process.jobs.Moment
+import org.greengagepass.core.process.jobs.StateRecord
+import org.greengagepass.services.process.AppendIdentity
+import org.greengagepass.services.process.StateStore
+import org.greengagepass.services.process.StoreFailure
+
+/** Writes as the leader of [epoch], whose next append is [nextSequence]. */
+public class StateWriter(
+    private val store: StateStore,
+    private val epoch: Epoch,
+    private var nextSequence: Long,
+    private val clock: () -> Moment,
+    private val proof: LeadershipProof,
+) {
+    /** Since when the store has not answered, or null. */
+    public var troubleSince: Timestamp? = null
+        private set
+
+    /** When the last append was begun that has succeeded. */
+    public var lastSuccessAt: Timestamp = clock().now
+        private set
+
+    /** Writes [records]; false if another leader has begun. */
+    public suspend fun write(records: List<StateRecord>): Boolean = chunks(records).all { writeChunk(it) }
+
+    private suspend fun writeChunk(records: List<StateRecord>): Boolean {
+        while (true) {
+            val begunAt = clock()
+            val failure = store.append(AppendIdentity(epoch, nextSequence), records).leftOrNull()
+            if (failure == null) {
+                nextSequence += 1
+                lastSuccessAt = begunAt.now
+                proof.confirm(begunAt)
+                endTrouble()
+                return true
+            }
+            when (failure) {
+                is StoreFailure.Fenced, is StoreFailure.Moved -> {
+                    logger.warn("another leader has begun after epoch {}: {}", epoch.value, failure.detail)
+                    return false
+                }
+                is StoreFailure.Refused, is StoreFailure.NoAnswer -> beginTrouble(begunAt, failure)
+            }
+            delay(RETRY_MILLIS)
+        }
+    }
+
+    private fun beginTrouble(
+        begunAt: Moment,
+        failure: StoreFailure,
+    ) {
+        if (troubleSince == null) {
+            troubleSince = begunAt.now
+            logger.warn("the store is lost: {}", failure.detail)
+        }
+    }
+
+    private fun endTrouble() {
+        troubleSince?.let { logger.info("the store is regained after {} ms", clock().now.millisSince(it)) }
+        troubleSince = null
+    }
+
+    private fun chunks(records: List<StateRecord>): List<List<StateRecord>> {
+        val chunks = ArrayList<List<StateRecord>>()
+        var chunk = ArrayList<StateRecord>()
+        var bytes = 0
+        records.forEach { record ->
+            val size = record.key.length + (record.value?.size ?: 0) + RECORD_OVERHEAD_BYTES
+            if (bytes + size > CHUNK_BYTES_MAXIMUM && chunk.isNotEmpty()) {
+                chunks += chunk
+                chunk = ArrayList()
+                bytes = 0
+            }
+            chunk += record
+            bytes += size
+        }
+        if (chunk.isNotEmpty()) chunks += chunk
+        return chunks
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger(StateWriter::class.java)
+        private const val RETRY_MILLIS = 50L
+
+        /** Half of what the store takes in one call. */
+        private const val CHUNK_BYTES_MAXIMUM = 1_000_000
+        private const val RECORD_OVERHEAD_BYTES = 16
+    }
+}
--- a/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationService.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationService.kt
@@ -24,7 +24,7 @@
 import org.greengagepass.core.version.Verdict
 import org.greengagepass.entry.process.StreamAppender
 import org.greengagepass.entry.request.ApiError
-import org.greengagepass.platform.process.LogPage
+import org.greengagepass.services.process.LogPage
 
 /** Stream of the log that holds the configuration. */
 public const val CONFIGURATION_STREAM: String = "configuration"
--- a/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationSnapshots.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/version/ConfigurationSnapshots.kt
@@ -10,8 +10,8 @@
 import org.greengagepass.core.version.ConfigurationSnapshot
 import org.greengagepass.core.version.ConfigurationState
 import org.greengagepass.entry.process.SnapshotStream
-import org.greengagepass.platform.process.LogService
-import org.greengagepass.platform.process.PlatformError
+import org.greengagepass.services.process.LogService
+import org.greengagepass.services.process.PlatformError
 
 /** Takes and restores snapshots of the configuration as [writer]; the log keeps records for [logRetentionMillis]. */
 public class ConfigurationSnapshots(
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/MemoryLog.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/MemoryLog.kt
@@ -6,10 +6,10 @@
 import arrow.core.Either
 import arrow.core.right
 import kotlinx.coroutines.delay
-import org.greengagepass.platform.process.LogPage
-import org.greengagepass.platform.process.LogRecord
-import org.greengagepass.platform.process.LogService
-import org.greengagepass.platform.process.PlatformError
+import org.greengagepass.services.process.LogPage
+import org.greengagepass.services.process.LogRecord
+import org.greengagepass.services.process.LogService
+import org.greengagepass.services.process.PlatformError
 import java.util.concurrent.CopyOnWriteArrayList
 
 /** Holds one stream. */
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FrameConnector.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FrameConnector.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.greengagepass.core.ResultCode
 import java.io.IOException
+import java.net.ConnectException
 import java.nio.channels.UnresolvedAddressException
 
 private const val PORT_MAXIMUM = 65_535
@@ -36,6 +37,8 @@
             withTimeoutOrNull(timeoutMillis) { open(target) }
                 ?.let { FramedConnection(it, outgoing, incoming).right() }
                 ?: failure("not connected to $address within $timeoutMillis ms").left()
+        } catch (cause: ConnectException) {
+            CodecError(ResultCode.NO_UPSTREAM, "nobody listens at $address: ${cause.message}").left()
         } catch (cause: IOException) {
             failure("not connected to $address: ${cause.message}").left()
         } catch (_: UnresolvedAddressException) {
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/HttpUpstreamService.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/HttpUpstreamService.kt
@@ -3,7 +3,7 @@
  * in headers and the body as it came from the caller. An upstream that refuses a request before it runs says so in
  * the header X-Not-Run; only that header and a connection that was never established prove "not run".
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import kotlinx.coroutines.future.await
 import org.greengagepass.core.ResultCode
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/HttpWorkerService.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/HttpWorkerService.kt
@@ -1,7 +1,7 @@
 /*
  * The worker service over HTTP.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import arrow.core.Either
 import kotlinx.serialization.KSerializer
--- /dev/null
+++ b/services/src/main/kotlin/org/greengagepass/services/process/JobGateway.kt
@@ -0,0 +1,40 @@
+/*
+ * The way from a caller's request to the scheduler.
+ */
+package org.greengagepass.services.process
+
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.process.jobs.JobId
+import org.greengagepass.core.process.jobs.JobReply
+import org.greengagepass.core.process.jobs.JobSpecification
+import org.greengagepass.core.process.jobs.QueueDefinition
+import org.greengagepass.core.process.jobs.QueueName
+
+/** Asks the scheduler on behalf of callers. Every answer comes by the given time. */
+public interface JobGateway {
+    /** Hands in a job. */
+    public suspend fun submit(
+        id: JobId,
+        queue: QueueDefinition,
+        specification: JobSpecification,
+        answerBy: Timestamp,
+    ): JobReply
+
+    /** Asks what became of a job. */
+    public suspend fun find(
+        id: JobId,
+        answerBy: Timestamp,
+    ): JobReply
+
+    /** Cancels a job. */
+    public suspend fun cancel(
+        id: JobId,
+        answerBy: Timestamp,
+    ): JobReply
+
+    /** Counts the jobs of a queue that have not begun. */
+    public suspend fun countPending(
+        queue: QueueName,
+        answerBy: Timestamp,
+    ): JobReply
+}
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/JsonHttp.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/JsonHttp.kt
@@ -2,7 +2,7 @@
  * JSON over the JDK's HTTP client, for the platform's services. A connection that was never established proves that
  * the operation did not happen. A timeout, a broken answer or an answer that is not a stated refusal proves nothing.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import arrow.core.Either
 import arrow.core.flatMap
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/LimitedBody.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/LimitedBody.kt
@@ -2,7 +2,7 @@
  * A response body of limited size. What goes beyond the limit is read and dropped, so that one answer can't take
  * the memory of the process.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import java.io.ByteArrayOutputStream
 import java.net.http.HttpResponse
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/LogProtocol.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/LogProtocol.kt
@@ -1,7 +1,7 @@
 /*
  * JSON bodies of the log's HTTP interface. Payloads are bytes and travel in base64.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import kotlinx.serialization.Serializable
 
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/LogService.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/LogService.kt
@@ -1,7 +1,7 @@
 /*
  * The platform's append-only log. Streams are named; offsets grow by one for each append; old records expire.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import arrow.core.Either
 
--- /dev/null
+++ b/services/src/main/kotlin/org/greengagepass/services/process/OperatorFeed.kt
@@ -0,0 +1,13 @@
+/*
+ * What the operators have published, followed as it changes.
+ */
+package org.greengagepass.services.process
+
+import arrow.core.Either
+import org.greengagepass.core.version.OperatorConfiguration
+
+/** Follows the operators' configuration. One coroutine at a time may use a feed. */
+public interface OperatorFeed {
+    /** Waits up to [waitMillis] for a change; gives the newest configuration known, or null before the first. */
+    public suspend fun next(waitMillis: Long): Either<StoreFailure, OperatorConfiguration?>
+}
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/PlainContext.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/PlainContext.kt
@@ -3,7 +3,7 @@
  * security providers and all trusted certificates, which took 8 MB of an agent's 64 MB although it only speaks
  * plain HTTP to its own host.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import java.security.Provider
 import java.security.SecureRandom
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/PlatformHttpClient.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/PlatformHttpClient.kt
@@ -1,7 +1,7 @@
 /*
  * The one HTTP client of a process for everything of the platform.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import java.net.http.HttpClient
 import java.time.Duration
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/UpstreamService.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/UpstreamService.kt
@@ -1,7 +1,7 @@
 /*
  * Upstreams on the host of an agent: they announce themselves and answer requests over HTTP.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import kotlinx.serialization.Serializable
 import org.greengagepass.core.RequestId
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/WorkerProtocol.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/WorkerProtocol.kt
@@ -1,7 +1,7 @@
 /*
  * JSON bodies of the worker's HTTP interface: one body for each operation of WorkerService.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import kotlinx.serialization.Serializable
 import org.greengagepass.core.FencingToken
--- a/platform/src/main/kotlin/org/greengagepass/platform/process/WorkerService.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/WorkerService.kt
@@ -3,7 +3,7 @@
  * replaced, of a lower fencing token than one seen, or after a deadline that the call carries. Deadlines are
  * readings of the worker's own clock.
  */
-package org.greengagepass.platform.process
+package org.greengagepass.services.process
 
 import arrow.core.Either
 import kotlinx.serialization.Serializable
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/Commands.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/Commands.kt
@@ -17,7 +17,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.greengagepass.core.Resources
 import org.greengagepass.core.ServiceName
-import org.greengagepass.platform.process.Announcement
+import org.greengagepass.services.process.Announcement
 import org.greengagepass.standins.process.LogRoutes
 import org.greengagepass.standins.process.LogStore
 import org.greengagepass.standins.process.SimulatedWorker
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/process/AttemptTable.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/AttemptTable.kt
@@ -12,11 +12,11 @@
 import org.greengagepass.core.Resources
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.Timestamp
-import org.greengagepass.platform.process.AttemptState
-import org.greengagepass.platform.process.RefusalBody
-import org.greengagepass.platform.process.RefusalReason
-import org.greengagepass.platform.process.WorkerReport
-import org.greengagepass.platform.process.WorkerStart
+import org.greengagepass.services.process.AttemptState
+import org.greengagepass.services.process.RefusalBody
+import org.greengagepass.services.process.RefusalReason
+import org.greengagepass.services.process.WorkerReport
+import org.greengagepass.services.process.WorkerStart
 
 /** Attempts on the worker called [worker]. Not safe for use by several threads. */
 internal class AttemptTable(
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/process/LogRoutes.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/LogRoutes.kt
@@ -13,10 +13,10 @@
 import io.ktor.server.routing.put
 import kotlinx.coroutines.delay
 import kotlinx.serialization.Serializable
-import org.greengagepass.platform.process.AppendBody
-import org.greengagepass.platform.process.AppendedBody
-import org.greengagepass.platform.process.RefusalBody
-import org.greengagepass.platform.process.RefusalReason
+import org.greengagepass.services.process.AppendBody
+import org.greengagepass.services.process.AppendedBody
+import org.greengagepass.services.process.RefusalBody
+import org.greengagepass.services.process.RefusalReason
 
 /** Faults of the log. Counts say how many of the next operations are hit. */
 @Serializable
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/process/LogStore.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/LogStore.kt
@@ -6,8 +6,8 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
-import org.greengagepass.platform.process.LogPageBody
-import org.greengagepass.platform.process.LogRecordBody
+import org.greengagepass.services.process.LogPageBody
+import org.greengagepass.services.process.LogRecordBody
 import java.util.concurrent.ConcurrentHashMap
 
 /** Streams in memory, with times given by [clockMillis]. */
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/process/SimulatedAttempt.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/SimulatedAttempt.kt
@@ -8,9 +8,9 @@
 import org.greengagepass.core.Resources
 import org.greengagepass.core.Timestamp
 import org.greengagepass.core.process.Checkpoint
-import org.greengagepass.platform.process.AttemptReport
-import org.greengagepass.platform.process.AttemptState
-import org.greengagepass.platform.process.WorkerStart
+import org.greengagepass.services.process.AttemptReport
+import org.greengagepass.services.process.AttemptState
+import org.greengagepass.services.process.WorkerStart
 
 /** An attempt that was started by [start] at [startedAt]. */
 internal class SimulatedAttempt(
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/process/SimulatedWorker.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/SimulatedWorker.kt
@@ -16,12 +16,12 @@
 import org.greengagepass.core.Resources
 import org.greengagepass.core.Timestamp
 import org.greengagepass.core.process.Checkpoint
-import org.greengagepass.platform.process.RefusalBody
-import org.greengagepass.platform.process.RefusalReason
-import org.greengagepass.platform.process.RenewBody
-import org.greengagepass.platform.process.ThrottleBody
-import org.greengagepass.platform.process.WorkerReport
-import org.greengagepass.platform.process.WorkerStart
+import org.greengagepass.services.process.RefusalBody
+import org.greengagepass.services.process.RefusalReason
+import org.greengagepass.services.process.RenewBody
+import org.greengagepass.services.process.ThrottleBody
+import org.greengagepass.services.process.WorkerReport
+import org.greengagepass.services.process.WorkerStart
 
 /** A worker called [name] with [capacity]. Usage in reports is up to [usageLagMillis] old. */
 public class SimulatedWorker(
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/process/WorkerHistory.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/WorkerHistory.kt
@@ -10,7 +10,7 @@
 import org.greengagepass.core.Resources
 import org.greengagepass.core.TaskId
 import org.greengagepass.core.process.Checkpoint
-import org.greengagepass.platform.process.AttemptState
+import org.greengagepass.services.process.AttemptState
 
 /** One start or end of an attempt; [state] is RUNNING for a start. */
 @Serializable
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/process/WorkerRoutes.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/process/WorkerRoutes.kt
@@ -15,15 +15,15 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.Serializable
 import org.greengagepass.core.Timestamp
-import org.greengagepass.platform.process.DoneBody
-import org.greengagepass.platform.process.ForgetBody
-import org.greengagepass.platform.process.IncarnationBody
-import org.greengagepass.platform.process.RefusalBody
-import org.greengagepass.platform.process.RefusalReason
-import org.greengagepass.platform.process.RenewBody
-import org.greengagepass.platform.process.StartBody
-import org.greengagepass.platform.process.ThrottleBody
-import org.greengagepass.platform.process.TokenBody
+import org.greengagepass.services.process.DoneBody
+import org.greengagepass.services.process.ForgetBody
+import org.greengagepass.services.process.IncarnationBody
+import org.greengagepass.services.process.RefusalBody
+import org.greengagepass.services.process.RefusalReason
+import org.greengagepass.services.process.RenewBody
+import org.greengagepass.services.process.StartBody
+import org.greengagepass.services.process.ThrottleBody
+import org.greengagepass.services.process.TokenBody
 
 /** Faults of the worker. [answersLost] says how many of the next operations take effect without an answer. */
 @Serializable
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/request/Announcer.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/request/Announcer.kt
@@ -6,7 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
 import kotlinx.serialization.json.Json
-import org.greengagepass.platform.process.Announcement
+import org.greengagepass.services.process.Announcement
 import java.io.IOException
 import java.net.URI
 import java.net.http.HttpClient
--- a/stand-ins/src/main/kotlin/org/greengagepass/standins/request/ExecutorRoutes.kt
+++ b/stand-ins/src/main/kotlin/org/greengagepass/standins/request/ExecutorRoutes.kt
@@ -19,10 +19,10 @@
 import kotlinx.io.IOException
 import org.greengagepass.core.RequestId
 import org.greengagepass.core.WorkKind
-import org.greengagepass.platform.process.NOT_RUN_DRAINING
-import org.greengagepass.platform.process.NOT_RUN_HEADER
-import org.greengagepass.platform.process.NOT_RUN_OVERLOADED
-import org.greengagepass.platform.process.REQUEST_ID_HEADER
+import org.greengagepass.services.process.NOT_RUN_DRAINING
+import org.greengagepass.services.process.NOT_RUN_HEADER
+import org.greengagepass.services.process.NOT_RUN_OVERLOADED
+import org.greengagepass.services.process.REQUEST_ID_HEADER
 
 /** Serves [executor]. */
 public class ExecutorRoutes(
--- a/stand-ins/src/test/kotlin/org/greengagepass/standins/process/SimulatedWorkerTest.kt
+++ b/stand-ins/src/test/kotlin/org/greengagepass/standins/process/SimulatedWorkerTest.kt
@@ -11,11 +11,11 @@
 import org.greengagepass.core.Timestamp
 import org.greengagepass.core.WorkKind
 import org.greengagepass.core.process.Checkpoint
-import org.greengagepass.platform.process.AttemptState
-import org.greengagepass.platform.process.RefusalReason
-import org.greengagepass.platform.process.RenewBody
-import org.greengagepass.platform.process.ThrottleBody
-import org.greengagepass.platform.process.WorkerStart
+import org.greengagepass.services.process.AttemptState
+import org.greengagepass.services.process.RefusalReason
+import org.greengagepass.services.process.RenewBody
+import org.greengagepass.services.process.ThrottleBody
+import org.greengagepass.services.process.WorkerStart
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
