Know hosts by machine, give silent ones nothing, and survive SIGHUP

Change: a life of a host is its machine, executor name and start; hosts without a report for 900 ms get no tasks; a leader that can't store is replaced without the observation of the store; settings are read again on SIGHUP.

--- a/agent/src/main/kotlin/org/greengagepass/agent/HostCommand.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/HostCommand.kt
@@ -12,6 +12,7 @@
 import org.greengagepass.agent.process.jobs.HostProcess
 import org.greengagepass.platform.PlatformSettings
 import org.greengagepass.platform.SETTINGS_FILE_VARIABLE
+import org.greengagepass.platform.watchSettings
 import java.nio.file.Path
 
 private const val EXIT_INVALID_SETTINGS = 2
@@ -27,14 +28,16 @@
     }
 
     override fun run() {
+        val path = Path.of(settingsFile)
         val settings =
-            PlatformSettings.read(Path.of(settingsFile)).fold(
+            PlatformSettings.read(path).fold(
                 { fault ->
                     echo("fault: $fault", err = true)
                     throw ProgramResult(EXIT_INVALID_SETTINGS)
                 },
                 { it },
             )
+        watchSettings(path, settings)
         runBlocking { HostProcess(settings).run() }
     }
 }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.HostId
+import org.greengagepass.core.process.jobs.ExecutorName
 import org.greengagepass.core.process.jobs.HostDescription
 import org.greengagepass.platform.AnnouncementListener
 import org.greengagepass.platform.ExecutorAnnouncements
@@ -44,6 +45,7 @@
     private val announcements =
         ExecutorAnnouncements(
             address = requireNotNull(settings.announcementAddress) { "no address for announcements" },
+            host = HostId(settings.processName),
             listener = this,
             metrics = metrics::text,
         )
@@ -63,8 +65,8 @@
         scope.launch { supervisor.onAlive(description) }
     }
 
-    override fun onLeft(host: HostId) {
-        scope.launch { supervisor.onLeft(host) }
+    override fun onLeft(executor: ExecutorName) {
+        scope.launch { supervisor.onLeft(executor) }
     }
 
     private companion object {
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -10,7 +10,7 @@
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.Epoch
-import org.greengagepass.core.HostId
+import org.greengagepass.core.process.jobs.ExecutorName
 import org.greengagepass.core.process.jobs.HostDescription
 import org.greengagepass.protocol.connection.FramedConnection
 import org.greengagepass.protocol.connection.FromScheduler
@@ -68,8 +68,8 @@
     }
 
     /** The executor has left. */
-    fun onLeft(left: HostId) {
-        val known = description?.takeIf { it.incarnation.host == left } ?: return
+    fun onLeft(left: ExecutorName) {
+        val known = description?.takeIf { it.incarnation.executor == left } ?: return
         logger.info("host {} has left", known.incarnation)
         line?.send(ToScheduler.HostGone(known.incarnation))
         description = null
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -45,6 +45,9 @@
     }
 }
 
+/** Earlier than every reading of the scheduler's clock, with room to add to it. */
+private val NEVER = Timestamp(Long.MIN_VALUE / 2)
+
 /** One life of a host. */
 public class Host internal constructor(
     description: HostDescription,
@@ -60,8 +63,12 @@
     public var isConnected: Boolean = false
         internal set
 
+    /** When the host last told what it holds, by the scheduler's clock. */
+    public var lastReportAt: Timestamp = NEVER
+        internal set
+
     /** When the leases granted to the host have surely lapsed, by the scheduler's clock. */
-    public var lapsesAt: Timestamp = Timestamp(Long.MIN_VALUE)
+    public var lapsesAt: Timestamp = NEVER
         internal set
 
     /** Reading of the host's clock until which it holds its tasks. */
@@ -72,12 +79,16 @@
     internal var processedEnds: Long = 0
 
     /** The host gets no new tasks before this time. */
-    internal var pausedUntil: Timestamp = Timestamp(Long.MIN_VALUE)
+    internal var pausedUntil: Timestamp = NEVER
 
     /** The life of the host. */
     public val incarnation: HostIncarnation
         get() = description.incarnation
 
+    /** True if the host has told what it holds shortly before [now]; a silent one gets no new tasks. */
+    public fun isResponsive(now: Timestamp): Boolean =
+        isConnected && lastReportAt.plusMillis(REPORT_SILENCE_MILLIS) >= now
+
     /** What the runs on the host have reserved. */
     public fun reserved(): Resources =
         runs.values.fold(Resources.NONE) { sum, held -> sum + held.entry.step.reservation }
@@ -93,4 +104,9 @@
         runs.values.any {
             it.entry.step.sharing.latencyTargetMillis != null
         }
+
+    private companion object {
+        /** Two reports, which come every 400 ms at least. */
+        private const val REPORT_SILENCE_MILLIS = 900L
+    }
 }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostDecisions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostDecisions.kt
@@ -66,6 +66,7 @@
         moment: Moment,
     ): Long? {
         val host = state.hosts[report.incarnation]?.takeIf { it.isConnected } ?: return null
+        host.lastReportAt = moment.now
         reports.handle(host, report, moment)
         return if (mayExtendLease) state.hosts.extendLease(host, report.clockMillis, moment.now) else null
     }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobIdentifiers.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobIdentifiers.kt
@@ -36,9 +36,17 @@
     val number: Int,
 )
 
-/** One life of a host's executor. What ran in an earlier life is gone. */
+/** Name under which an executor announces itself. It may change with each life of the executor, or not. */
+@JvmInline
+@Serializable
+public value class ExecutorName(
+    public val value: String,
+)
+
+/** One life of the executor on [host]. A host has one executor at a time, so what ran in an earlier life is gone. */
 @Serializable
 public data class HostIncarnation(
     val host: HostId,
+    val executor: ExecutorName,
     val startedAtEpochMillis: Long,
 )
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
@@ -32,7 +32,7 @@
         host: Host,
         moment: Moment,
     ): Boolean =
-        host.isConnected &&
+        host.isResponsive(moment.now) &&
             !host.description.isDraining &&
             host.leaseUntilHostClock > 0 &&
             moment.now >= host.pausedUntil &&
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
@@ -56,13 +56,26 @@
         end: RunEnd,
         moment: Moment,
     ) {
-        val held = host.runs[end.run.task]
-        if (held != null && held.run.number <= end.run.number) host.runs.remove(end.run.task)
+        val held = host.runs[end.run.task]?.takeIf { it.run.number <= end.run.number }
+        if (held != null) host.runs.remove(end.run.task)
+        state.outbox.note(Decision("ended", end.run.task.job, end.run, host.incarnation, describe(end, held, moment)))
         val job = state.book[end.run.task.job]
         val entry = job?.task(end.run.task)
         if (entry != null && entry.isHeldBy(host.incarnation, end.run.number)) apply(end, job, entry, host, moment)
     }
 
+    private fun describe(
+        end: RunEnd,
+        held: HeldRun?,
+        moment: Moment,
+    ): String {
+        val outcome = end.outcome.name.lowercase()
+        if (held == null) return "$outcome, not expected"
+        val step = held.entry.step
+        return "$outcome after ${moment.now.millisSince(held.placedAt)} ms, estimated ${step.estimatedMillis} ms, " +
+            "last measured ${held.lastSeen?.measurement} of ${step.demand.milliCores}"
+    }
+
     private fun apply(
         end: RunEnd,
         job: Job,
@@ -71,7 +84,6 @@
         moment: Moment,
     ) {
         state.book.touch(job)
-        state.outbox.note(Decision("ended", job.id, end.run, host.incarnation, end.outcome.name.lowercase()))
         if (end.checkpoint.isNotEmpty()) entry.checkpoint = end.checkpoint
         entry.state = TaskState.Waiting
         when (end.outcome) {
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/DecisionLog.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/DecisionLog.kt
@@ -27,7 +27,7 @@
             message.put("task", "${run.task.occurrence}.${run.task.step}.${run.task.index}")
             message.put("run", run.number.toString())
         }
-        decision.host?.let { message.put("host", "${it.host.value}@${it.startedAtEpochMillis}") }
+        decision.host?.let { message.put("host", "${it.host.value}/${it.executor.value}") }
         if (decision.detail.isNotEmpty()) message.put("detail", decision.detail)
         logger.info(message)
     }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -55,9 +55,10 @@
 
     /** False while the store does not answer. */
     public val canStore: Boolean
-        get() =
-            (writer.troubleSince ?: surroundings.clock().now).let { surroundings.clock().now.millisSince(it) } <
-                STORE_TROUBLE_MILLIS
+        get() {
+            val since = writer.writingSince ?: return true
+            return surroundings.clock().now.millisSince(since) < STORE_TROUBLE_MILLIS
+        }
 
     /** Leads until another leadership has begun or [end] is called. */
     public suspend fun run() {
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeaderLine.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeaderLine.kt
@@ -25,7 +25,7 @@
 
     /** True while the leader is connected and can store what it decides. */
     val isUseful: Boolean
-        get() = remote != null && canLeaderStore
+        get() = remote != null && canLeaderStore && !candidate.isSilent()
 
     override fun addresses(): List<String> =
         (listOfNotNull(directory.newest?.address) + seedAddresses).filter { it != identity.address }
@@ -52,7 +52,11 @@
             is FromScheduler.Answer -> remote?.answered(message)
             is FromScheduler.Pong -> {
                 canLeaderStore = message.canStore
-                if (message.canStore) candidate.onContact()
+                if (message.canStore) {
+                    candidate.onContact()
+                } else {
+                    directory.newest?.let { candidate.onStoreTrouble(it.address) }
+                }
             }
             else -> Unit
         }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
@@ -43,6 +43,14 @@
         deniedAddress = null
     }
 
+    /** The leader says that it can't store what it decides. */
+    public fun onStoreTrouble(address: String) {
+        deniedAddress = address
+    }
+
+    /** True if the leader has been silent for too long. */
+    public fun isSilent(): Boolean = surroundings.clock().now.millisSince(lastContactAt) >= SILENCE_MILLIS
+
     /** The process at [address] certainly does not lead. */
     public fun onNotLeading(address: String) {
         deniedAddress = address
@@ -51,7 +59,6 @@
     /** A new leadership of this entry, once it has one; null if it should follow another. */
     public suspend fun tryLead(): Leader? {
         val known = directory.newest
-        val silentMillis = surroundings.clock().now.millisSince(lastContactAt)
         val isGone = known == null || known.address == identity.address || known.address == deniedAddress
         return when {
             !directory.hasRead -> null
@@ -59,7 +66,7 @@
                 delay(random.nextLong(CLAIM_SPREAD_MILLIS))
                 if (directory.newest == known) claim(known) else null
             }
-            silentMillis >= SILENCE_MILLIS && hasStoppedWriting() -> claim(known)
+            isSilent() && hasStoppedWriting() -> claim(known)
             else -> null
         }
     }
@@ -121,11 +128,11 @@
         /** Keeps entries that lost a leader together from claiming at the same moment. */
         private const val CLAIM_SPREAD_MILLIS = 60L
 
-        /** Two pings without an answer. */
-        private const val SILENCE_MILLIS = 900L
+        /** Nearly two pings without an answer. */
+        private const val SILENCE_MILLIS = 700L
 
         /** A leader writes every 400 ms at least; a slow store adds some hundred. */
-        private const val OBSERVATION_MILLIS = 1_200L
+        private const val OBSERVATION_MILLIS = 1_000L
 
         /** Numbers from which an epoch's first one is drawn. */
         private const val SEQUENCES = 1_000_000_000L
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/ScheduleCommand.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/ScheduleCommand.kt
@@ -14,6 +14,7 @@
 import org.greengagepass.entry.process.EXIT_CODE_INVALID_SETTINGS
 import org.greengagepass.platform.PlatformSettings
 import org.greengagepass.platform.SETTINGS_FILE_VARIABLE
+import org.greengagepass.platform.watchSettings
 
 /** Runs an entry until it is told to stop. */
 public class ScheduleCommand : CliktCommand(name = "schedule") {
@@ -37,6 +38,7 @@
         if (isCheck) {
             echo(settings.toString())
         } else {
+            watchSettings(settingsFile, settings)
             runBlocking { JobEntryProcess(settings).runUntilStopped() }
         }
     }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
@@ -22,10 +22,12 @@
     private val clock: () -> Moment,
     private val proof: LeadershipProof,
 ) {
-    /** Since when the store has not answered, or null. */
-    public var troubleSince: Timestamp? = null
+    /** When the append that is under way was begun, or null. */
+    public var writingSince: Timestamp? = null
         private set
 
+    private var troubleSince: Timestamp? = null
+
     /** When the last append was begun that has succeeded. */
     public var lastSuccessAt: Timestamp = clock().now
         private set
@@ -36,10 +38,12 @@
     private suspend fun writeChunk(records: List<StateRecord>): Boolean {
         while (true) {
             val begunAt = clock()
+            writingSince = writingSince ?: begunAt.now
             val failure = store.append(AppendIdentity(epoch, nextSequence), records).leftOrNull()
             if (failure == null) {
                 nextSequence += 1
                 lastSuccessAt = begunAt.now
+                writingSince = null
                 proof.confirm(begunAt)
                 endTrouble()
                 return true
