Pace and place tasks by the effect learnt for each pair of images

Cause: serving tasks reserve nearly all cores and use about half; tasks that use spare time waited for unreserved cores, and halving all paces at every excess cost both kinds. Change: the model of interference learns from every report; paces follow its effects; a task that would push a serving task over its bound waits. Jobs that can still meet their objective go first; runs leave hosts that have become slow.

--- a/core/src/main/kotlin/org/greengagepass/core/process/InterferenceModel.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/InterferenceModel.kt
@@ -20,6 +20,22 @@
     val utilization: Double,
     val coreShares: Map<WorkKind, Double>,
     val measuredAt: Timestamp,
+    /** What has a latency of its own without neighbours; the kind of the service unless it differs by instance. */
+    val instance: WorkKind = service,
+)
+
+/** How fast a model forgets, and how sure it may become. */
+public data class InterferenceMemory(
+    /** Time in which evidence on a pair loses half of its weight, in milliseconds. */
+    val halfLifeMillis: Long = InterferenceModel.HALF_LIFE_MILLIS,
+    /** What is assumed of a pair that was never seen: logarithm of the slowdown at full use of the host. */
+    val priorMean: Double = 0.0,
+    val priorVariance: Double = PRIOR_VARIANCE,
+    /** Variances never fall below these, so that a model of something that changes goes on learning. */
+    val pairVarianceMinimum: Double = VARIANCE_MINIMUM,
+    val baseVarianceMinimum: Double = VARIANCE_MINIMUM,
+    /** Variance of the logarithm of one measurement. */
+    val measurementVariance: Double = MEASUREMENT_VARIANCE,
 )
 
 /** Expected slowdown ratio, and the standard deviation of its logarithm. */
@@ -29,7 +45,9 @@
 )
 
 /** Pairwise slowdowns. The update is a Kalman filter with a diagonal covariance. */
-public class InterferenceModel {
+public class InterferenceModel(
+    private val memory: InterferenceMemory = InterferenceMemory(),
+) {
     private val bases = HashMap<WorkKind, Term>()
     private val loads = HashMap<WorkKind, Term>()
     private val pairs = HashMap<Pair<WorkKind, WorkKind>, Term>()
@@ -38,11 +56,14 @@
     public fun learn(sample: SlowdownSample) {
         if (sample.latencyMillis <= 0.0) return
         val logLatency = ln(sample.latencyMillis)
-        val base = bases.getOrPut(sample.service) { Term(logLatency, BASE_VARIANCE, sample.measuredAt) }
+        val base = bases.getOrPut(sample.instance) { Term(logLatency, BASE_VARIANCE, sample.measuredAt) }
         val load = loads.getOrPut(sample.service) { Term(0.0, PRIOR_VARIANCE, sample.measuredAt) }
         val inputs = arrayListOf(base to 1.0, load to loadInput(sample.utilization))
         sample.coreShares.forEach { (kind, share) ->
-            val term = pairs.getOrPut(sample.service to kind) { Term(0.0, PRIOR_VARIANCE, sample.measuredAt) }
+            val term =
+                pairs.getOrPut(sample.service to kind) {
+                    Term(memory.priorMean, memory.priorVariance, sample.measuredAt)
+                }
             term.age(sample.measuredAt)
             inputs += term to share
         }
@@ -56,8 +77,8 @@
         coreShare: Double,
     ): Slowdown {
         val term = pairs[service to kind]
-        val mean = term?.mean ?: 0.0
-        val variance = term?.variance ?: PRIOR_VARIANCE
+        val mean = term?.mean ?: memory.priorMean
+        val variance = term?.variance ?: memory.priorVariance
         return Slowdown(ratio = exp(mean * coreShare), uncertainty = sqrt(variance) * coreShare)
     }
 
@@ -66,35 +87,36 @@
         logLatency: Double,
     ) {
         val error = logLatency - inputs.sumOf { (term, input) -> term.mean * input }
-        val spread = MEASUREMENT_VARIANCE + inputs.sumOf { (term, input) -> input * input * term.variance }
+        val spread = memory.measurementVariance + inputs.sumOf { (term, input) -> input * input * term.variance }
         inputs.forEachIndexed { index, (term, input) ->
             val gain = term.variance * input / spread
             val mean = term.mean + gain * error
             // Neither load nor a neighbour makes a service faster; only the base may be negative.
             term.mean = if (index == 0) mean else mean.coerceAtLeast(0.0)
-            term.variance = (term.variance * (1.0 - gain * input)).coerceAtLeast(VARIANCE_MINIMUM)
+            val minimum = if (index == 0) memory.baseVarianceMinimum else memory.pairVarianceMinimum
+            term.variance = (term.variance * (1.0 - gain * input)).coerceAtLeast(minimum)
         }
     }
 
     /** In a queue the wait grows with 1 / (1 - utilization); the input is the logarithm of that. */
     private fun loadInput(utilization: Double): Double = -ln(1.0 - utilization.coerceIn(0.0, UTILIZATION_MAXIMUM))
 
-    private class Term(
+    private inner class Term(
         var mean: Double,
         var variance: Double,
         var agedAt: Timestamp,
     ) {
         fun age(now: Timestamp) {
             val elapsed = now.millisSince(agedAt).coerceAtLeast(0)
-            val kept = HALF.pow(elapsed.toDouble() / HALF_LIFE_MILLIS)
-            mean *= kept
-            variance = PRIOR_VARIANCE - (PRIOR_VARIANCE - variance) * kept
+            val kept = HALF.pow(elapsed.toDouble() / memory.halfLifeMillis)
+            mean = memory.priorMean + (mean - memory.priorMean) * kept
+            variance = memory.priorVariance - (memory.priorVariance - variance) * kept
             agedAt = maxOf(agedAt, now)
         }
     }
 
     public companion object {
-        /** Time in which evidence on a pair loses half of its weight. */
+        /** Time in which evidence on a pair loses half of its weight where it changes little. */
         public const val HALF_LIFE_MILLIS: Long = 600_000
     }
 }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -39,6 +39,14 @@
     /** Share of full speed that the scheduler has asked for. */
     internal var pacePercent: Int = FULL_PACE_PERCENT
 
+    /** True if the time that the run takes says something of its host. */
+    internal val isMeasurable: Boolean
+        get() =
+            isConfirmed &&
+                entry.step.lifetime == StepLifetime.FINITE &&
+                !entry.step.sharing.usesSpareProcessor &&
+                entry.step.coordination == StepCoordination.INDEPENDENT
+
     public companion object {
         /** A task that is not slowed. */
         public const val FULL_PACE_PERCENT: Int = 100
@@ -85,6 +93,12 @@
     public val incarnation: HostIncarnation
         get() = description.incarnation
 
+    /** What the host has left for tasks that use spare processor time. */
+    public val spare: SpareCapacity = SpareCapacity()
+
+    /** How long tasks take on the host. */
+    public val speed: HostSpeed = HostSpeed()
+
     /** True if the host has told what it holds shortly before [now]; a silent one gets no new tasks. */
     public fun isResponsive(now: Timestamp): Boolean =
         isConnected && lastReportAt.plusMillis(REPORT_SILENCE_MILLIS) >= now
@@ -93,11 +107,14 @@
     public fun reserved(): Resources =
         runs.values.fold(Resources.NONE) { sum, held -> sum + held.entry.step.reservation }
 
-    /** Processor time that tasks which use what others leave ask for. */
+    /** Processor time that tasks which use what others leave ask for at their present pace. */
     public fun spareDemandMilliCores(): Long =
         runs.values
             .filter { it.entry.step.sharing.usesSpareProcessor }
-            .sumOf { it.entry.step.demand.milliCores }
+            .sumOf { it.entry.step.demand.milliCores * it.pacePercent / HeldRun.FULL_PACE_PERCENT }
+
+    /** Processor time that is left for them. */
+    public fun spareMilliCores(): Long = spare.milliCores(description.capacity.milliCores, runs.values)
 
     /** True if a serving task with a bound on its latency runs on the host. */
     public fun hasServingTask(): Boolean =
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReports.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReports.kt
@@ -18,6 +18,8 @@
         handleEnds(host, report, moment)
         val seen = report.running.mapTo(HashSet()) { it.run }
         report.running.forEach { handleRunning(host, it, moment) }
+        state.interference.learn(host, moment.now)
+        host.spare.learn(host.description.capacity.milliCores, host.runs.values)
         host.runs.values
             .filter { it.run !in seen }
             .forEach { handleUnlisted(host, it, report, moment) }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -4,6 +4,7 @@
 package org.greengagepass.core.process.jobs
 
 import org.greengagepass.core.Resources
+import org.greengagepass.core.Timestamp
 
 /** What is left of a host during one round. */
 internal class HostRoom(
@@ -19,23 +20,33 @@
     var hasServingTask: Boolean = host.hasServingTask()
         private set
 
-    /** Processor time that nothing has reserved. */
-    val freeMilliCores: Long
-        get() = host.description.capacity.milliCores - reserved.milliCores
+    /** Processor time that is left for them, less what was placed in this round. */
+    private var spareMilliCores = host.spareMilliCores()
 
     /** The largest reserved share of the host's resources, 0 to 1. */
     val reservedShare: Double
         get() = share(reserved, host.description.capacity)
 
+    /** Room for effects on the serving tasks of the host, less what is not measured yet; null without such tasks. */
+    var interferenceRoom: Double? = null
+
     fun take(step: StepSpecification) {
         reserved += step.reservation
-        if (step.sharing.usesSpareProcessor) spareDemandMilliCores += step.demand.milliCores
+        if (step.sharing.usesSpareProcessor) {
+            spareDemandMilliCores += step.demand.milliCores
+        } else {
+            spareMilliCores -= step.demand.milliCores
+        }
         if (step.sharing.latencyTargetMillis != null) hasServingTask = true
     }
 
     fun giveBack(step: StepSpecification) {
         reserved -= step.reservation
-        if (step.sharing.usesSpareProcessor) spareDemandMilliCores -= step.demand.milliCores
+        if (step.sharing.usesSpareProcessor) {
+            spareDemandMilliCores -= step.demand.milliCores
+        } else {
+            spareMilliCores += step.demand.milliCores
+        }
     }
 
     fun fits(step: StepSpecification): Boolean = (reserved + step.reservation).fitsIn(host.description.capacity)
@@ -43,9 +54,12 @@
     /** Demand for spare processor time over what is spare, with one more task of [step]. */
     fun spareLoadWith(step: StepSpecification): Double {
         val demand = spareDemandMilliCores + step.demand.milliCores
-        return demand.toDouble() / freeMilliCores.coerceAtLeast(1)
+        return demand.toDouble() / spareMilliCores.coerceAtLeast(1)
     }
 
+    /** Demand for spare processor time over what is spare. */
+    fun spareLoad(): Double = spareDemandMilliCores.toDouble() / spareMilliCores.coerceAtLeast(1)
+
     private fun share(
         part: Resources,
         whole: Resources,
@@ -60,15 +74,41 @@
 internal class HostScoring(
     private val state: SchedulerState,
 ) {
+    /** What is left of [host], with the effect of tasks that have been placed too recently to be measured. */
+    fun roomOf(
+        host: Host,
+        now: Timestamp,
+    ): HostRoom {
+        val room = HostRoom(host)
+        val unmeasured =
+            host.runs.values
+                .filter {
+                    it.entry.step.sharing.usesSpareProcessor &&
+                        now.millisSince(it.placedAt) < MEASURED_AFTER_MILLIS
+                }.sumOf { effect(it.entry.step, room) }
+        room.interferenceRoom = state.interference.excess(host)?.let { -it - unmeasured }
+        return room
+    }
+
+    /** [room] takes a task of [step]. */
+    fun take(
+        step: StepSpecification,
+        room: HostRoom,
+    ) {
+        room.take(step)
+        if (step.sharing.usesSpareProcessor) room.interferenceRoom = room.interferenceRoom?.minus(effect(step, room))
+    }
+
     /** The host with the lowest score that may take [entry], one of [siblings], or null. */
     fun best(
         entry: TaskEntry,
         siblings: List<TaskEntry>,
         pool: List<HostRoom>,
+        now: Timestamp,
     ): HostRoom? =
         pool
             .filter { mayTake(entry, siblings, it) }
-            .minByOrNull { score(entry, siblings, it) }
+            .minByOrNull { score(entry, siblings, it) + slownessCost(it.host, now) }
 
     private fun mayTake(
         entry: TaskEntry,
@@ -79,8 +119,23 @@
             entry.key !in room.host.runs &&
             hasLabel(entry.step.constraints, room.host) &&
             hasSpareRoom(entry.step, room) &&
+            isBearable(entry.step, room) &&
             isSpread(entry.step.constraints, siblings, room.host)
 
+    /** A task that would push serving tasks over their bounds waits; it would cost them more than it gains. */
+    private fun isBearable(
+        step: StepSpecification,
+        room: HostRoom,
+    ): Boolean {
+        val left = room.interferenceRoom
+        return !step.sharing.usesSpareProcessor || left == null || effect(step, room) <= left
+    }
+
+    private fun effect(
+        step: StepSpecification,
+        room: HostRoom,
+    ): Double = state.interference.effect(room.host, step.sharing.image, step.demand.milliCores)
+
     private fun hasLabel(
         constraints: StepConstraints,
         host: Host,
@@ -125,20 +180,22 @@
         return score + FAILURE_COST * state.reliability.failuresOf(description.incarnation)
     }
 
+    private fun slownessCost(
+        host: Host,
+        now: Timestamp,
+    ): Double = if (host.speed.isSlow(now)) SLOWNESS_COST * host.speed.slowness(now) else 0.0
+
     private fun neighbourCost(
         step: StepSpecification,
         room: HostRoom,
     ): Double =
         when {
             step.sharing.usesSpareProcessor ->
-                room.spareLoadWith(step) + if (room.hasServingTask) SERVING_NEIGHBOUR_COST else 0.0
-            step.sharing.latencyTargetMillis != null -> SERVING_NEIGHBOUR_COST * spareLoad(room)
+                room.spareLoadWith(step) + SERVING_NEIGHBOUR_COST * effect(step, room)
+            step.sharing.latencyTargetMillis != null -> SERVING_NEIGHBOUR_COST * room.spareLoad()
             else -> 0.0
         }
 
-    private fun spareLoad(room: HostRoom): Double =
-        room.spareDemandMilliCores.toDouble() / room.freeMilliCores.coerceAtLeast(1)
-
     private fun rackCost(
         siblings: List<TaskEntry>,
         room: HostRoom,
@@ -160,6 +217,12 @@
         /** The host on which a task failed is taken only if there is no other. */
         private const val FAILED_HERE_COST = 10.0
 
+        /** A measurement covers half a second and is reported within another. */
+        private const val MEASURED_AFTER_MILLIS = 900L
+
+        /** A slow host is taken only if the others are full. */
+        private const val SLOWNESS_COST = 2.0
+
         /** One unexplained failure outweighs an even load. */
         private const val FAILURE_COST = 1.0
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Interference.kt
@@ -0,0 +1,93 @@
+/*
+ * What tasks that use spare processor time do to the serving tasks beside them, learnt from measured latencies by
+ * pair of images. Effects change within seconds, so the model keeps learning.
+ */
+package org.greengagepass.core.process.jobs
+
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.WorkKind
+import org.greengagepass.core.process.InterferenceMemory
+import org.greengagepass.core.process.InterferenceModel
+import org.greengagepass.core.process.SlowdownSample
+import kotlin.math.ln
+
+/** Learns from the reports of hosts. All effects are logarithms of a slowdown. */
+public class Interference {
+    private val model = InterferenceModel(MEMORY)
+
+    /** Learns from the newest report of [host]. */
+    internal fun learn(
+        host: Host,
+        now: Timestamp,
+    ) {
+        val fillers = host.runs.values.filter { it.entry.step.sharing.usesSpareProcessor && it.lastSeen != null }
+        val shares =
+            fillers
+                .groupBy { WorkKind(it.entry.step.sharing.image) }
+                .mapValues { (_, runs) -> runs.sumOf { share(host, it.lastSeen?.measurement ?: 0) } }
+        serving(host).forEach { held ->
+            val sample =
+                SlowdownSample(
+                    service = WorkKind(held.entry.step.sharing.image),
+                    latencyMillis = (held.lastSeen?.measurement ?: 0).toDouble(),
+                    utilization = 0.0,
+                    coreShares = shares,
+                    measuredAt = now,
+                    instance = WorkKind("${held.entry.step.sharing.image} ${held.run.task}"),
+                )
+            model.learn(sample)
+        }
+    }
+
+    /** How far the worst serving task of [host] is above the latency that is aimed at; negative if all are below. */
+    internal fun excess(host: Host): Double? =
+        serving(host).maxOfOrNull { held ->
+            val target = held.entry.step.sharing.latencyTargetMillis ?: 1
+            val measured = held.lastSeen?.measurement?.coerceAtLeast(1) ?: 1
+            ln(measured / (target * AIMED_SHARE))
+        }
+
+    /** Effect of a task of [image] that uses [milliCores] on the serving task of [host] that it slows most. */
+    internal fun effect(
+        host: Host,
+        image: String,
+        milliCores: Long,
+    ): Double {
+        val share = share(host, milliCores.toInt())
+        return host.runs.values
+            .filter { it.entry.step.sharing.latencyTargetMillis != null }
+            .maxOfOrNull { held ->
+                val service = WorkKind(held.entry.step.sharing.image)
+                ln(model.slowdown(service, WorkKind(image), share).ratio)
+            } ?: 0.0
+    }
+
+    private fun serving(host: Host): List<HeldRun> =
+        host.runs.values.filter {
+            it.entry.step.sharing.latencyTargetMillis != null && (it.lastSeen?.measurement ?: 0) > 0
+        }
+
+    private fun share(
+        host: Host,
+        milliCores: Int,
+    ): Double =
+        milliCores.toDouble() /
+            host.description.capacity.milliCores
+                .coerceAtLeast(1)
+
+    private companion object {
+        /** Latency that is aimed at, as a share of the bound; measurements lag by half a second. */
+        private const val AIMED_SHARE = 0.8
+
+        /** A pair that was never seen is taken to slow by a quarter at a tenth of the host. */
+        private val MEMORY =
+            InterferenceMemory(
+                halfLifeMillis = 15_000,
+                priorMean = 2.0,
+                priorVariance = 4.0,
+                pairVarianceMinimum = 0.3,
+                baseVarianceMinimum = 0.02,
+                measurementVariance = 0.05,
+            )
+    }
+}
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/InterferenceGuard.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/InterferenceGuard.kt
@@ -1,6 +1,7 @@
 /*
- * Slows tasks that use spare processor time beside a serving task whose tail latency is over its bound, and lets
- * them work again when it is well below. Measurements lag, so a change is followed by a pause before the next one.
+ * Keeps serving tasks within their latency bounds: of the tasks that use spare processor time beside them, those
+ * that slow them most are slowed as far as needed, and sped up again as far as there is room. Measurements lag, so a
+ * change is followed by a pause before the next one.
  */
 package org.greengagepass.core.process.jobs
 
@@ -17,7 +18,7 @@
         changedAt.keys.retainAll { state.hosts[it] != null }
         state.hosts
             .all()
-            .filter { it.isConnected }
+            .filter { it.isResponsive(moment.now) }
             .forEach { adjustHost(it, moment.now) }
     }
 
@@ -26,34 +27,64 @@
         now: Timestamp,
     ) {
         val fillers = host.runs.values.filter { it.entry.step.sharing.usesSpareProcessor && it.isConfirmed }
-        if (fillers.isEmpty()) return
-        val pressure =
-            host.runs.values
-                .mapNotNull(::pressureOf)
-                .maxOrNull() ?: 0.0
         val sinceChange = changedAt[host.incarnation]?.let { now.millisSince(it) } ?: Long.MAX_VALUE
-        val current = fillers.minOf { it.pacePercent }
-        val next =
+        if (fillers.isEmpty() || sinceChange < PAUSE_MILLIS) return
+        val excess = state.interference.excess(host) ?: -1.0
+        val paces =
             when {
-                pressure > PRESSURE_HIGH && sinceChange >= SLOW_DOWN_PAUSE_MILLIS -> current / 2
-                pressure < PRESSURE_LOW && sinceChange >= SPEED_UP_PAUSE_MILLIS -> current + SPEED_UP_PERCENT
-                else -> current
-            }.coerceIn(PACE_PERCENT_MINIMUM, HeldRun.FULL_PACE_PERCENT)
-        if (next != current) changedAt[host.incarnation] = now
-        val late = fillers.filter { it.pacePercent != next }
-        late.forEach { pace(host, it, next) }
-        if (late.isNotEmpty()) {
-            val share = (pressure * PERCENT).toInt()
-            val detail = "${late.size} runs at $next percent, latency at $share percent of its bound"
-            state.outbox.note(Decision("paced", host = host.incarnation, detail = detail))
-        }
+                excess > 0 -> slowed(host, fillers, excess)
+                excess < -ROOM_MINIMUM -> spedUp(host, fillers, -excess)
+                else -> emptyMap()
+            }.filter { (held, percent) -> held.pacePercent != percent }
+        if (paces.isEmpty()) return
+        changedAt[host.incarnation] = now
+        paces.forEach { (held, percent) -> pace(host, held, percent) }
+        val detail = "excess ${(excess * PERCENT).toInt()}%, percents ${paces.values.joinToString()}"
+        state.outbox.note(Decision("paced", host = host.incarnation, detail = detail))
     }
 
-    /** Measured tail latency over its bound; null for runs without a bound or a measurement. */
-    private fun pressureOf(held: HeldRun): Double? {
-        val target = held.entry.step.sharing.latencyTargetMillis
-        val measured = held.lastSeen?.measurement
-        return if (target == null || measured == null) null else measured.toDouble() / target.coerceAtLeast(1)
+    /** Slows the worst tasks first, each as far as the model says is needed. */
+    private fun slowed(
+        host: Host,
+        fillers: List<HeldRun>,
+        excess: Double,
+    ): Map<HeldRun, Int> {
+        var left = excess
+        return fillers
+            .sortedByDescending { effect(host, it) }
+            .associateWith { held ->
+                val effect = effect(host, held).coerceAtLeast(EFFECT_MINIMUM)
+                val kept = if (left <= 0) 1.0 else (1.0 - left / effect).coerceAtLeast(0.0)
+                left -= effect * (1.0 - kept)
+                (held.pacePercent * kept).toInt().coerceAtLeast(PACE_PERCENT_MINIMUM)
+            }
+    }
+
+    /** Speeds the least harmful tasks up first. */
+    private fun spedUp(
+        host: Host,
+        fillers: List<HeldRun>,
+        room: Double,
+    ): Map<HeldRun, Int> {
+        var left = room * ROOM_USED
+        return fillers
+            .filter { it.pacePercent < HeldRun.FULL_PACE_PERCENT }
+            .sortedBy { effect(host, it) }
+            .associateWith { held ->
+                val effectOfPercent = effect(host, held).coerceAtLeast(EFFECT_MINIMUM) / held.pacePercent
+                val gained = (left / effectOfPercent).toInt().coerceIn(0, HeldRun.FULL_PACE_PERCENT - held.pacePercent)
+                left -= gained * effectOfPercent
+                held.pacePercent + gained
+            }
+    }
+
+    /** Effect at the present pace. */
+    private fun effect(
+        host: Host,
+        held: HeldRun,
+    ): Double {
+        val milliCores = held.entry.step.demand.milliCores * held.pacePercent / HeldRun.FULL_PACE_PERCENT
+        return state.interference.effect(host, held.entry.step.sharing.image, milliCores)
     }
 
     private fun pace(
@@ -68,18 +99,17 @@
     private companion object {
         private const val PERCENT = 100
 
-        /** Slowing begins shortly below the bound, since the measurement is half a second old. */
-        private const val PRESSURE_HIGH = 0.9
+        /** A measurement covers half a second, and a pace takes effect within a tenth. */
+        private const val PAUSE_MILLIS = 650L
 
-        /** Speeding up waits until the latency is well below, so that it does not swing. */
-        private const val PRESSURE_LOW = 0.65
+        /** Below this room a speed-up would soon be taken back. */
+        private const val ROOM_MINIMUM = 0.15
 
-        /** A measurement covers half a second; the next decision needs one that was taken after the change. */
-        private const val SLOW_DOWN_PAUSE_MILLIS = 700L
+        /** Part of the room that one speed-up uses, since the load of the serving tasks may grow meanwhile. */
+        private const val ROOM_USED = 0.6
 
-        /** Slower than slowing down, because exceeding the bound is worse than unused time. */
-        private const val SPEED_UP_PAUSE_MILLIS = 1_000L
-        private const val SPEED_UP_PERCENT = 25
+        /** Smaller effects can't be told from noise. */
+        private const val EFFECT_MINIMUM = 0.01
 
         /** Below this a task disturbs nobody noticeably and still ends some day. */
         private const val PACE_PERCENT_MINIMUM = 5
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Job.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Job.kt
@@ -100,6 +100,16 @@
     /** True if no task is left to do. */
     internal fun isAllDone(): Boolean = tasks.all { it.state == TaskState.Done }
 
+    /** Estimated work of the longest chain of steps that are not done. */
+    internal fun remainingChainMillis(): Long {
+        val ends = LongArray(steps.size)
+        steps.forEachIndexed { number, step ->
+            val begin = step.dependsOn.filter { it < number }.maxOfOrNull { ends[it] } ?: 0
+            ends[number] = begin + if (isStepDone(0, number)) 0 else step.estimatedMillis
+        }
+        return ends.maxOrNull() ?: 0
+    }
+
     private fun isStepDone(
         occurrence: Int,
         step: Int,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
@@ -25,6 +25,7 @@
     private val placement = PlacementRound(state, transitions)
     private val guard = InterferenceGuard(state)
     private val stalls = StalledRuns(state, transitions)
+    private val slowRuns = SlowRuns(state, transitions)
 
     /** Handles calls of callers. */
     public val callers: CallerDecisions = CallerDecisions(state, transitions)
@@ -44,6 +45,7 @@
     ) {
         hosts.expireLeases(moment.now)
         stalls.stop(moment)
+        slowRuns.move(moment)
         guard.adjust(moment)
         if (mayStart) placement.run(moment)
         state.book.forgetEndedBefore(moment.epochMillis - state.settings.retentionMillis)
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
@@ -20,11 +20,12 @@
             state.hosts
                 .all()
                 .filter { isEligible(it, moment) }
-                .map { HostRoom(it) }
+                .map { scoring.roomOf(it, moment.now) }
         if (rooms.isEmpty()) return
         val waitedFor = HashSet<PlacementClass>()
+        val order = PlacementOrder(moment.epochMillis)
         state.book.active.values
-            .sortedWith(compareBy({ state.queueOf(it).priority }, { it.objectiveEpochMillis }))
+            .sortedBy { order.rank(it, state.queueOf(it).priority) }
             .forEach { placeJob(it, rooms, waitedFor, moment) }
     }
 
@@ -82,8 +83,8 @@
         pool: List<HostRoom>,
         moment: Moment,
     ): Boolean {
-        val room = scoring.best(entry, siblings, pool) ?: return false
-        room.take(entry.step)
+        val room = scoring.best(entry, siblings, pool, moment.now) ?: return false
+        scoring.take(entry.step, room)
         transitions.place(job, entry, room.host, entry.lastRun + 1, moment)
         return true
     }
@@ -97,12 +98,12 @@
         if (tasks.any { it.state != TaskState.Waiting }) return
         val taken = ArrayList<Pair<TaskEntry, HostRoom>>()
         for (entry in tasks) {
-            val room = scoring.best(entry, tasks, pool)
+            val room = scoring.best(entry, tasks, pool, moment.now)
             if (room == null) {
                 taken.forEach { (member, used) -> used.giveBack(member.step) }
                 return
             }
-            room.take(entry.step)
+            scoring.take(entry.step, room)
             taken += entry to room
         }
         val number = tasks.maxOf { it.lastRun } + 1
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
@@ -57,13 +57,27 @@
         moment: Moment,
     ) {
         val held = host.runs[end.run.task]?.takeIf { it.run.number <= end.run.number }
-        if (held != null) host.runs.remove(end.run.task)
+        if (held != null) {
+            host.runs.remove(end.run.task)
+            learnSpeed(host, held, end, moment)
+        }
         state.outbox.note(Decision("ended", end.run.task.job, end.run, host.incarnation, describe(end, held, moment)))
         val job = state.book[end.run.task.job]
         val entry = job?.task(end.run.task)
         if (entry != null && entry.isHeldBy(host.incarnation, end.run.number)) apply(end, job, entry, host, moment)
     }
 
+    private fun learnSpeed(
+        host: Host,
+        held: HeldRun,
+        end: RunEnd,
+        moment: Moment,
+    ) {
+        if (end.outcome != RunOutcome.DONE || !held.isMeasurable) return
+        val elapsed = moment.now.millisSince(held.placedAt)
+        host.speed.learn(elapsed, held.entry.step.estimatedMillis, hasEnded = true, moment.now)
+    }
+
     private fun describe(
         end: RunEnd,
         held: HeldRun?,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
@@ -56,6 +56,9 @@
 
     /** It makes no progress. */
     STALLED,
+
+    /** Its host has become slow. */
+    SLOW_HOST,
 }
 
 /** A decision that changes what becomes of a job or a task, for the log. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -34,6 +34,9 @@
     /** Which hosts fail what they start. */
     public val reliability: HostReliability = HostReliability()
 
+    /** What tasks do to their neighbours. */
+    public val interference: Interference = Interference()
+
     /** The newest configuration. */
     public var configuration: JobConfiguration = JobConfiguration()
         internal set
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SpareCapacity.kt
@@ -0,0 +1,63 @@
+/*
+ * How much processor time a host has left for tasks that only use what others leave. Serving tasks reserve for their
+ * peak and use less, so the reservation says little; what the tasks that use it get shows whether there is more.
+ */
+package org.greengagepass.core.process.jobs
+
+/** Estimate for one host, in thousandths of a core. */
+public class SpareCapacity {
+    private var estimate: Double? = null
+
+    /** What is thought to be left on a host with [capacity] on which [runs] are. */
+    public fun milliCores(
+        capacity: Long,
+        runs: Collection<HeldRun>,
+    ): Long = (estimate ?: expected(capacity, runs)).toLong().coerceIn(0, capacity)
+
+    /** Learns from what [runs] have got. */
+    internal fun learn(
+        capacity: Long,
+        runs: Collection<HeldRun>,
+    ) {
+        val users = runs.filter { it.entry.step.sharing.usesSpareProcessor && (it.lastSeen?.measurement ?: -1) >= 0 }
+        val wanted = users.sumOf { it.entry.step.demand.milliCores * it.pacePercent / HeldRun.FULL_PACE_PERCENT }
+        val got = users.sumOf { it.lastSeen?.measurement ?: 0 }
+        val bound = expected(capacity, runs)
+        val known = estimate ?: bound
+        estimate =
+            when {
+                wanted == 0L -> known + (bound - known) * FORGETTING
+                got < wanted * SATURATED -> known + (got / SATURATED - known) * LEARNING
+                else -> maxOf(known, wanted * HEADROOM)
+            }.coerceIn(0.0, capacity.toDouble())
+    }
+
+    private fun expected(
+        capacity: Long,
+        runs: Collection<HeldRun>,
+    ): Double {
+        val (serving, plain) =
+            runs
+                .filter { !it.entry.step.sharing.usesSpareProcessor }
+                .partition { it.entry.step.sharing.latencyTargetMillis != null }
+        val used =
+            plain.sumOf { it.entry.step.demand.milliCores } +
+                serving.sumOf { it.entry.step.demand.milliCores } * SERVING_USE
+        return (capacity - used).coerceAtLeast(0.0)
+    }
+
+    private companion object {
+        /** Services are sized for peaks of about twice their usual load. */
+        private const val SERVING_USE = 0.5
+
+        /** A measurement is rough; below this share of what they want, tasks are short of processor time. */
+        private const val SATURATED = 0.8
+
+        /** A measurement covers half a second, so that three of them replace what was known. */
+        private const val LEARNING = 0.4
+        private const val FORGETTING = 0.1
+
+        /** Room for one more task while all get what they want. */
+        private const val HEADROOM = 1.3
+    }
+}
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskEntry.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskEntry.kt
@@ -38,6 +38,9 @@
     public var checkpoint: String = ""
         internal set
 
+    /** True if the task was moved away from a slow host; it is not moved again. */
+    internal var wasMoved: Boolean = false
+
     /** Host on which the last failed run was; another one is preferred. */
     public var failedOn: HostIncarnation? = null
         internal set
