--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -116,6 +116,8 @@
         }
     }
 
+    override fun isCurrent(): Boolean = highestEpoch >= (directory.newest?.epoch ?: Epoch.NONE)
+
     override fun onDisconnected() {
         if (line != null) logger.info("the scheduler of epoch {} is lost", highestEpoch.value)
         line = null
--- /dev/null
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
@@ -0,0 +1,124 @@
+/*
+ * Values that tests of the job scheduler share.
+ */
+package org.greengagepass.core.process.jobs
+
+import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.HostId
+import org.greengagepass.core.RackName
+import org.greengagepass.core.Resources
+import org.greengagepass.core.ServiceName
+import org.greengagepass.core.Timestamp
+
+internal val POOL = ServiceName("pool")
+
+internal val SETTINGS = SchedulerSettings(leaseMillis = 5_000, leadershipMillis = 3_000, retentionMillis = 180_000)
+
+internal fun moment(millis: Long) = Moment(Timestamp(millis), EPOCH_MILLIS + millis)
+
+private const val EPOCH_MILLIS = 1_700_000_000_000L
+
+internal fun incarnation(
+    host: String,
+    life: Long = 1,
+) = HostIncarnation(HostId(host), ExecutorName("$host-$life"), life)
+
+internal fun description(
+    incarnation: HostIncarnation,
+    failureDomain: String = "north",
+    capacity: Resources = Resources(milliCores = 16_000, memoryMegabytes = 64_000),
+) = HostDescription(
+    incarnation = incarnation,
+    pool = POOL,
+    failureDomain = FailureDomainName(failureDomain),
+    rack = RackName("rack"),
+    labels = listOf("a", "rack"),
+    capacity = capacity,
+)
+
+internal fun queue(
+    priority: Int = 0,
+    attemptsMaximum: Int = 2,
+) = QueueDefinition(
+    name = QueueName("queue-$priority"),
+    pool = POOL,
+    priority = priority,
+    attemptsMaximum = attemptsMaximum,
+    stretchFactor = 1.5,
+    latencyTargetMillis = 300,
+)
+
+internal fun step(
+    taskCount: Int = 1,
+    milliCores: Long = 1_000,
+    dependsOn: List<Int> = emptyList(),
+    lifetime: StepLifetime = StepLifetime.FINITE,
+    coordination: StepCoordination = StepCoordination.INDEPENDENT,
+    constraints: StepConstraints = StepConstraints(),
+    sharing: StepSharing = StepSharing(),
+) = StepSpecification(
+    taskCount = taskCount,
+    demand = Resources(milliCores = milliCores, memoryMegabytes = 1_000),
+    estimatedMillis = 1_000,
+    dependsOn = dependsOn,
+    lifetime = lifetime,
+    coordination = coordination,
+    constraints = constraints,
+    sharing = sharing,
+)
+
+internal fun specification(vararg steps: StepSpecification) = JobSpecification("payload", steps.toList())
+
+/** A scheduler with a store that takes everything at once. */
+internal class SchedulerBench(
+    jobs: List<Job> = emptyList(),
+    startedAt: Long = 0,
+) {
+    val scheduler = JobScheduler(SETTINGS, JobBook(jobs), Timestamp(startedAt))
+    val stored = LinkedHashMap<String, StateRecord>()
+    private val looks = HashMap<HostIncarnation, Long>()
+
+    /** Connects a host and reports that it is empty, so that it gets tasks. */
+    fun connect(
+        host: HostDescription,
+        millis: Long,
+    ) {
+        scheduler.hosts.connected(host, moment(millis))
+        report(host.incarnation, millis)
+    }
+
+    fun report(
+        host: HostIncarnation,
+        millis: Long,
+        running: List<RunningTask> = emptyList(),
+        ends: List<RunEnd> = emptyList(),
+    ): Long? {
+        val look = (looks[host] ?: 0) + 1
+        looks[host] = look
+        return scheduler.hosts.reported(HostReport(host, look, millis, running, ends), true, moment(millis))
+    }
+
+    /** Everything that the scheduler wants done at [millis], with its changes stored. */
+    fun effects(millis: Long): List<SchedulerEffect> {
+        scheduler.tick(moment(millis), mayStart = true)
+        val immediate = scheduler.takeImmediate()
+        val batch = scheduler.takeBatch() ?: return immediate
+        batch.change.records.forEach { if (it.value == null) stored.remove(it.key) else stored[it.key] = it }
+        scheduler.stored(batch)
+        return immediate + batch.effects + scheduler.takeImmediate()
+    }
+
+    fun starts(millis: Long): List<SchedulerEffect.Start> = effects(millis).filterIsInstance<SchedulerEffect.Start>()
+
+    fun submit(
+        id: String,
+        specification: JobSpecification,
+        millis: Long,
+        queue: QueueDefinition = queue(),
+    ) = scheduler.callers.submit(1, JobId(id), queue, specification, moment(millis))
+}
+
+internal fun running(
+    run: TaskRun,
+    measurement: Int = 1_000,
+) = RunningTask(run, checkpoint = "", workPercent = 100, measurement = measurement)
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeaderLine.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeaderLine.kt
@@ -22,6 +22,7 @@
 ) : SchedulerLineEvents {
     private var remote: RemoteLine? = null
     private var canLeaderStore = true
+    private var connectedEpoch = Epoch.NONE
 
     /** True while the leader is connected and can store what it decides. */
     val isUseful: Boolean
@@ -43,6 +44,7 @@
         val connected = RemoteLine(line)
         remote = connected
         canLeaderStore = true
+        connectedEpoch = epoch
         candidate.onContact()
         if (gateway.line.value !is LocalLine) gateway.line.value = connected
     }
@@ -55,13 +57,15 @@
                 if (message.canStore) {
                     candidate.onContact()
                 } else {
-                    directory.newest?.let { candidate.onStoreTrouble(it.address) }
+                    candidate.onStoreTrouble(connectedEpoch)
                 }
             }
             else -> Unit
         }
     }
 
+    override fun isCurrent(): Boolean = connectedEpoch >= (directory.newest?.epoch ?: Epoch.NONE)
+
     override fun onDisconnected() {
         logger.info("the connection to the leader is lost")
         val lost = remote
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
@@ -34,32 +34,35 @@
     private val random: Random = Random.Default,
 ) {
     private var lastContactAt: Timestamp = surroundings.clock().now
-    private var deniedAddress: String? = null
+    private var deniedEpoch: Epoch? = null
     private var epochFloor = Epoch.NONE
 
     /** The leader was heard of at this moment, and can store what it decides. */
     public fun onContact() {
         lastContactAt = surroundings.clock().now
-        deniedAddress = null
+        deniedEpoch = null
     }
 
-    /** The leader says that it can't store what it decides. */
-    public fun onStoreTrouble(address: String) {
-        deniedAddress = address
+    /** The leader of [epoch] says that it can't store what it decides. */
+    public fun onStoreTrouble(epoch: Epoch) {
+        deniedEpoch = epoch
     }
 
     /** True if the leader has been silent for too long. */
     public fun isSilent(): Boolean = surroundings.clock().now.millisSince(lastContactAt) >= SILENCE_MILLIS
 
-    /** The process at [address] certainly does not lead. */
+    /**
+     * The process at [address] certainly does not lead. That counts against the leadership known by now only: the same
+     * process may begin to lead a moment later.
+     */
     public fun onNotLeading(address: String) {
-        deniedAddress = address
+        directory.newest?.takeIf { it.address == address }?.let { deniedEpoch = it.epoch }
     }
 
     /** A new leadership of this entry, once it has one; null if it should follow another. */
     public suspend fun tryLead(): Leader? {
         val known = directory.newest
-        val isGone = known == null || known.address == identity.address || known.address == deniedAddress
+        val isGone = known == null || known.address == identity.address || known.epoch == deniedEpoch
         return when {
             !directory.hasRead -> null
             isGone -> {
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
@@ -28,6 +28,9 @@
     /** The leader has sent [message]. */
     public fun onMessage(message: FromScheduler)
 
+    /** False once a leader with a higher epoch is known, so that this connection is given up. */
+    public fun isCurrent(): Boolean
+
     /** The connection has ended. */
     public fun onDisconnected()
 
@@ -101,7 +104,7 @@
         val pings = scope.launch { ping(line) }
         try {
             var message = next(line)
-            while (message != null) {
+            while (message != null && events.isCurrent()) {
                 events.onMessage(message)
                 message = next(line)
             }
