--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -124,8 +124,6 @@
         grant = null
     }
 
-    override fun onNotLeading(address: String): Unit = Unit
-
     private fun follow(epoch: Epoch) {
         val current = HostGrant(description?.incarnation ?: return, epoch)
         grant = current
--- /dev/null
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/HostOrdersTest.kt
@@ -0,0 +1,98 @@
+package org.greengagepass.agent.process.jobs
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.test.runTest
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.HostId
+import org.greengagepass.core.process.jobs.ExecutorName
+import org.greengagepass.core.process.jobs.HostIncarnation
+import org.greengagepass.core.process.jobs.JobId
+import org.greengagepass.core.process.jobs.StartOrder
+import org.greengagepass.core.process.jobs.StartOutcome
+import org.greengagepass.core.process.jobs.TaskKey
+import org.greengagepass.core.process.jobs.TaskRun
+import org.greengagepass.services.process.HostCall
+import org.greengagepass.services.process.HostFailure
+import org.greengagepass.services.process.HostView
+import org.greengagepass.services.process.TaskHost
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+class HostOrdersTest {
+    private val call = HostCall(HostIncarnation(HostId("host"), ExecutorName("executor"), 1), Epoch(1), 5_000)
+    private val run = TaskRun(TaskKey(JobId("job"), 0, 0, 0), 1)
+    private val order = StartOrder(run, "payload", "")
+    private val noAnswer = HostFailure.NoAnswer("timeout").left()
+
+    @Test
+    fun `a start without an answer is ordered again`() =
+        runTest {
+            val host = FakeTaskHost(noAnswer, noAnswer, StartOutcome.STARTED.right())
+            expectThat(HostOrders(host) { true }.start(call, order)).isEqualTo(StartOutcome.STARTED)
+            expectThat(host.calls.toList()).isEqualTo(listOf("start", "start", "start"))
+        }
+
+    @Test
+    fun `a refusal after a start without an answer counts only once the run is ruled out`() =
+        runTest {
+            // Guards against placing the task elsewhere while the first order may still be carried out.
+            val host = FakeTaskHost(noAnswer, StartOutcome.NO_ROOM.right())
+            expectThat(HostOrders(host) { true }.start(call, order)).isEqualTo(StartOutcome.SUPERSEDED)
+            expectThat(host.calls.toList()).isEqualTo(listOf("start", "start", "stop"))
+        }
+
+    @Test
+    fun `a refusal at once needs no stop`() =
+        runTest {
+            val host = FakeTaskHost(StartOutcome.NO_ROOM.right())
+            expectThat(HostOrders(host) { true }.start(call, order)).isEqualTo(StartOutcome.NO_ROOM)
+            expectThat(host.calls.toList()).isEqualTo(listOf("start"))
+        }
+
+    @Test
+    fun `orders of a scheduler that no longer leads are given up`() =
+        runTest {
+            val host = FakeTaskHost(noAnswer, noAnswer)
+            var looks = 0
+            expectThat(HostOrders(host) { looks++ < 2 }.start(call, order)).isNull()
+        }
+
+    private class FakeTaskHost(
+        vararg answers: Either<HostFailure, StartOutcome>,
+    ) : TaskHost {
+        val calls: MutableList<String> = ArrayList()
+        private val starts = ArrayDeque(answers.toList())
+
+        override suspend fun look(
+            call: HostCall,
+            acknowledgedEnds: Long,
+            waitMillis: Long,
+        ): Either<HostFailure, HostView> = HostFailure.Refused("not used").left()
+
+        override suspend fun start(
+            call: HostCall,
+            order: StartOrder,
+        ): Either<HostFailure, StartOutcome> {
+            calls += "start"
+            return starts.removeFirst()
+        }
+
+        override suspend fun stop(
+            call: HostCall,
+            run: TaskRun,
+        ): Either<HostFailure, Unit> {
+            calls += "stop"
+            return Unit.right()
+        }
+
+        override suspend fun pace(
+            call: HostCall,
+            run: TaskRun,
+            percent: Int,
+        ): Either<HostFailure, Unit> = Unit.right()
+    }
+}
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -74,6 +74,8 @@
 internal class HostScoring(
     private val state: SchedulerState,
 ) {
+    private val constraints = HostConstraints(state)
+
     /** What is left of [host], with the effect of tasks that have been placed too recently to be measured. */
     fun roomOf(
         host: Host,
@@ -85,7 +87,7 @@
                 .filter {
                     it.entry.step.sharing.usesSpareProcessor &&
                         now.millisSince(it.placedAt) < MEASURED_AFTER_MILLIS
-                }.sumOf { effect(it.entry.step, room) }
+                }.sumOf { constraints.effect(it.entry.step, room) }
         room.interferenceRoom = state.interference.excess(host)?.let { -it - unmeasured }
         return room
     }
@@ -96,7 +98,10 @@
         room: HostRoom,
     ) {
         room.take(step)
-        if (step.sharing.usesSpareProcessor) room.interferenceRoom = room.interferenceRoom?.minus(effect(step, room))
+        if (step.sharing.usesSpareProcessor) {
+            room.interferenceRoom =
+                room.interferenceRoom?.minus(constraints.effect(step, room))
+        }
     }
 
     /** The host with the lowest score that may take [entry], one of [siblings], or null. */
@@ -107,59 +112,9 @@
         now: Timestamp,
     ): HostRoom? =
         pool
-            .filter { mayTake(entry, siblings, it) }
+            .filter { constraints.mayTake(entry, siblings, it) }
             .minByOrNull { score(entry, siblings, it) + slownessCost(it.host, now) }
 
-    private fun mayTake(
-        entry: TaskEntry,
-        siblings: List<TaskEntry>,
-        room: HostRoom,
-    ): Boolean =
-        room.fits(entry.step) &&
-            entry.key !in room.host.runs &&
-            hasLabel(entry.step.constraints, room.host) &&
-            hasSpareRoom(entry.step, room) &&
-            isBearable(entry.step, room) &&
-            isSpread(entry.step.constraints, siblings, room.host)
-
-    /** A task that would push serving tasks over their bounds waits; it would cost them more than it gains. */
-    private fun isBearable(
-        step: StepSpecification,
-        room: HostRoom,
-    ): Boolean {
-        val left = room.interferenceRoom
-        return !step.sharing.usesSpareProcessor || left == null || effect(step, room) <= left
-    }
-
-    private fun effect(
-        step: StepSpecification,
-        room: HostRoom,
-    ): Double = state.interference.effect(room.host, step.sharing.image, step.demand.milliCores)
-
-    private fun hasLabel(
-        constraints: StepConstraints,
-        host: Host,
-    ): Boolean = constraints.requiredLabel == null || constraints.requiredLabel in host.description.labels
-
-    /** Runs that are being stopped count too, since they are there until their end is listed. */
-    private fun isSpread(
-        constraints: StepConstraints,
-        siblings: List<TaskEntry>,
-        host: Host,
-    ): Boolean {
-        val maximum = constraints.tasksPerHostMaximum ?: return true
-        return siblings.count { it.key in host.runs } < maximum
-    }
-
-    /** A single task may take more than is spare, or it could never run on a small host. */
-    private fun hasSpareRoom(
-        step: StepSpecification,
-        room: HostRoom,
-    ): Boolean =
-        !step.sharing.usesSpareProcessor ||
-            room.spareDemandMilliCores == 0L ||
-            room.spareLoadWith(step) <= SPARE_LOAD_MAXIMUM
-
     private fun score(
         entry: TaskEntry,
         siblings: List<TaskEntry>,
@@ -191,7 +146,7 @@
     ): Double =
         when {
             step.sharing.usesSpareProcessor ->
-                room.spareLoadWith(step) + SERVING_NEIGHBOUR_COST * effect(step, room)
+                room.spareLoadWith(step) + SERVING_NEIGHBOUR_COST * constraints.effect(step, room)
             step.sharing.latencyTargetMillis != null -> SERVING_NEIGHBOUR_COST * room.spareLoad()
             else -> 0.0
         }
@@ -205,9 +160,6 @@
     }
 
     private companion object {
-        /** Demand over spare processor time up to which tasks that use it are added; above it they only share. */
-        private const val SPARE_LOAD_MAXIMUM = 1.05
-
         /** A remote task takes about half as long again, which is worse than any difference in load. */
         private const val REMOTE_DATA_COST = 2.0
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
@@ -61,7 +61,9 @@
             host.runs.remove(end.run.task)
             learnSpeed(host, held, end, moment)
         }
-        state.outbox.note(Decision("ended", end.run.task.job, end.run, host.incarnation, describe(end, held, moment)))
+        state.outbox.note(
+            Decision("ended", end.run.task.job, end.run, host.incarnation, RunDescriptions.ofEnd(end, held, moment)),
+        )
         val job = state.book[end.run.task.job]
         val entry = job?.task(end.run.task)
         if (entry != null && entry.isHeldBy(host.incarnation, end.run.number)) apply(end, job, entry, host, moment)
@@ -78,18 +80,6 @@
         host.speed.learn(elapsed, held.entry.step.estimatedMillis, hasEnded = true, moment.now)
     }
 
-    private fun describe(
-        end: RunEnd,
-        held: HeldRun?,
-        moment: Moment,
-    ): String {
-        val outcome = end.outcome.name.lowercase()
-        if (held == null) return "$outcome, not expected"
-        val step = held.entry.step
-        return "$outcome after ${moment.now.millisSince(held.placedAt)} ms, estimated ${step.estimatedMillis} ms, " +
-            "last measured ${held.lastSeen?.measurement} of ${step.demand.milliCores}"
-    }
-
     private fun apply(
         end: RunEnd,
         job: Job,
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
@@ -52,19 +52,15 @@
     taskCount: Int = 1,
     milliCores: Long = 1_000,
     dependsOn: List<Int> = emptyList(),
-    lifetime: StepLifetime = StepLifetime.FINITE,
     coordination: StepCoordination = StepCoordination.INDEPENDENT,
     constraints: StepConstraints = StepConstraints(),
-    sharing: StepSharing = StepSharing(),
 ) = StepSpecification(
     taskCount = taskCount,
     demand = Resources(milliCores = milliCores, memoryMegabytes = 1_000),
     estimatedMillis = 1_000,
     dependsOn = dependsOn,
-    lifetime = lifetime,
     coordination = coordination,
     constraints = constraints,
-    sharing = sharing,
 )
 
 internal fun specification(vararg steps: StepSpecification) = JobSpecification("payload", steps.toList())
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
@@ -252,7 +252,7 @@
     @Test
     fun `a standing task is restarted however it ends`() {
         bench.connect(description(first), 0)
-        bench.submit("watch", specification(step(lifetime = StepLifetime.STANDING)), 0)
+        bench.submit("watch", specification(step().copy(lifetime = StepLifetime.STANDING)), 0)
         val run =
             bench
                 .starts(10)
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/SchedulerSimulation.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/SchedulerSimulation.kt
@@ -129,8 +129,10 @@
         hosts.filter { it.leader === this }.forEach { connectOrDrop(it, millis) }
         scheduler.tick(moment(millis), mayStart = !isFenced)
         scheduler.takeImmediate()
-        if (isFenced || !canStore) return
-        val batch = scheduler.takeBatch() ?: return
+        if (!isFenced && canStore) scheduler.takeBatch()?.let(::store)
+    }
+
+    private fun store(batch: SchedulerBatch) {
         write(batch.change.records)
         scheduler.stored(batch)
         batch.effects.forEach { perform(it) }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
@@ -156,7 +156,7 @@
         private const val ROTATION_MILLIS = 2_500L
 
         /** Share of the time until the process is killed that it uses to finish requests. */
-        private const val STOP_PERCENT = 80
+        private const val STOP_PERCENT = 60
         private const val PERCENT = 100
     }
 }
--- /dev/null
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidateTest.kt
@@ -0,0 +1,125 @@
+package org.greengagepass.entry.process.jobs
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.greengagepass.core.Epoch
+import org.greengagepass.core.Timestamp
+import org.greengagepass.core.process.jobs.Moment
+import org.greengagepass.core.process.jobs.SchedulerSettings
+import org.greengagepass.services.process.LeaderDirectory
+import org.greengagepass.services.process.Leadership
+import org.greengagepass.services.process.StoreFailure
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+class LeadershipCandidateTest {
+    private val store = FakeStateStore()
+    private val other = Leadership(Epoch(3), "other", "other:1")
+    private var now = 0L
+
+    private fun surroundings(scope: TestScope) =
+        LeaderSurroundings(
+            scope = scope,
+            store = store,
+            clock = { Moment(Timestamp(now), now) },
+            configuration = { null },
+            decisions = DecisionLog(SimpleMeterRegistry()),
+        )
+
+    /** A directory that has read the store once; the fake's wait for news takes simulated time. */
+    private suspend fun TestScope.readDirectory(): LeaderDirectory {
+        val directory = LeaderDirectory(store)
+        val following = launch { directory.follow() }
+        delay(FIRST_READ_MILLIS)
+        following.cancelAndJoin()
+        return directory
+    }
+
+    private suspend fun TestScope.candidate(known: Leadership?): LeadershipCandidate {
+        store.leadership = known
+        val directory = readDirectory()
+        return LeadershipCandidate(EntryIdentity("self", "self:1"), SETTINGS, directory, surroundings(this))
+    }
+
+    @Test
+    fun `without a leader the entry leads the next epoch`() =
+        runTest {
+            expectThat(candidate(null).tryLead()).isNotNull().get { leadership.epoch }.isEqualTo(Epoch(1))
+        }
+
+    @Test
+    fun `an entry that does not listen any more is followed at once`() =
+        runTest {
+            val candidate = candidate(other)
+            expectThat(candidate.tryLead()).isNull()
+            candidate.onNotLeading(other.address)
+            expectThat(candidate.tryLead()).isNotNull().get { leadership.epoch }.isEqualTo(Epoch(4))
+        }
+
+    @Test
+    fun `a denial from before a leadership does not count against it`() =
+        runTest {
+            // Guards against replacing a leader that said a moment earlier that it does not lead.
+            store.leadership = null
+            val directory = readDirectory()
+            val candidate =
+                LeadershipCandidate(EntryIdentity("self", "self:1"), SETTINGS, directory, surroundings(this))
+            candidate.onNotLeading(other.address)
+            directory.learn(other)
+            expectThat(candidate.tryLead()).isNull()
+        }
+
+    @Test
+    fun `a silent leader that still writes is not replaced`() =
+        runTest {
+            val candidate = candidate(other)
+            now = 5_000
+            store.grows = true
+            expectThat(candidate.tryLead()).isNull()
+            store.grows = false
+            expectThat(candidate.tryLead()).isNotNull()
+        }
+
+    @Test
+    fun `a claim that another entry has overtaken is given up`() =
+        runTest {
+            val candidate = candidate(null)
+            store.failures += StoreFailure.Moved("moved")
+            expectThat(candidate.tryLead()).isNull()
+        }
+
+    @Test
+    fun `two claims of one epoch differ in their sequence`() =
+        runTest {
+            // Guards against taking the second claim for a repeat of the first, which would make two leaders.
+            candidate(null).tryLead()
+            val first = store.appended.last()
+            store.records.clear()
+            candidate(null).tryLead()
+            expectThat(store.appended.last().sequence == first.sequence).isFalse()
+        }
+
+    @Test
+    fun `a proof of leadership ends by either clock`() {
+        // Guards against a process that was suspended, whose monotonic clock stood still.
+        val proof = LeadershipProof(validMillis = 3_000)
+        proof.confirm(Moment(Timestamp(0), 0))
+        expectThat(proof.isValid(Moment(Timestamp(100), 100))).isTrue()
+        expectThat(proof.isValid(Moment(Timestamp(100), 5_000))).isFalse()
+        expectThat(proof.isValid(Moment(Timestamp(5_000), 100))).isFalse()
+    }
+
+    private companion object {
+        private const val FIRST_READ_MILLIS = 10L
+        private val SETTINGS = SchedulerSettings(leaseMillis = 5_000, leadershipMillis = 3_000, retentionMillis = 1_000)
+    }
+}
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
@@ -35,7 +35,7 @@
     public fun onDisconnected()
 
     /** The process at [address] is certainly no leader: nobody listens there, or it says so. */
-    public fun onNotLeading(address: String)
+    public fun onNotLeading(address: String): Unit = Unit
 }
 
 /** Dials with [connector] and reports to [events]. */
