Answer every request before a stopping entry ends

Change: while an entry stops, a request's time ends before the entry does; it may use 70% of the grace time.

--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
@@ -84,7 +84,7 @@
     }
 
     private suspend fun leadWhenNeeded() {
-        while (!view.isStopping) {
+        while (view.stopsAt == null) {
             val won = if (line.isUseful) null else candidate.tryLead()
             if (won != null) lead(won)
             delay(CANDIDATE_MILLIS)
@@ -129,8 +129,8 @@
 
     private suspend fun stop() {
         logger.info("entry {} stops with {} requests in progress", identity.name, server.requestsInProgress)
-        view.isStopping = true
         val deadline = moment().now.plusMillis(settings.shutdownMillis * STOP_PERCENT / PERCENT)
+        view.stopsAt = deadline
         val rotationEnds = moment().now.plusMillis(ROTATION_MILLIS)
         listener.close()
         leader?.end()
@@ -156,7 +156,7 @@
         private const val ROTATION_MILLIS = 2_500L
 
         /** Share of the time until the process is killed that it uses to finish requests. */
-        private const val STOP_PERCENT = 60
+        private const val STOP_PERCENT = 70
         private const val PERCENT = 100
     }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryView.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryView.kt
@@ -21,10 +21,10 @@
         get() = follower.current
 
     override val isReady: Boolean
-        get() = !isStopping && follower.current != null && gateway.line.value != null
+        get() = stopsAt == null && follower.current != null && gateway.line.value != null
 
     @Volatile
-    override var isStopping: Boolean = false
+    override var stopsAt: Timestamp? = null
 
     override fun now(): Timestamp = MonotonicClock.SYSTEM.now()
 
