Let every job go on although its tasks would disturb others

Change: a job that has had nothing on a host for 1.2 s gets one task placed wherever it fits; the guard paces it. Test: LoadDecisionsTest, a job that nobody has room for still goes on (nothing started before).

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
@@ -7,17 +7,20 @@
 internal class HostConstraints(
     private val state: SchedulerState,
 ) {
-    /** True if [room] may take [entry], one of [siblings]. */
+    /**
+     * True if [room] may take [entry], one of [siblings]. A task whose job has waited for too long [isStarved]; it only
+     * has to fit, and is slowed as far as its neighbours need.
+     */
     fun mayTake(
         entry: TaskEntry,
         siblings: List<TaskEntry>,
         room: HostRoom,
+        isStarved: Boolean,
     ): Boolean =
         room.fits(entry.step) &&
             entry.key !in room.host.runs &&
             hasLabel(entry.step.constraints, room.host) &&
-            hasSpareRoom(entry.step, room) &&
-            isBearable(entry.step, room) &&
+            (isStarved || (hasSpareRoom(entry.step, room) && isBearable(entry.step, room))) &&
             isSpread(entry.step.constraints, siblings, room.host)
 
     /** A task that would push serving tasks over their bounds waits; it would cost them more than it gains. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -110,9 +110,10 @@
         siblings: List<TaskEntry>,
         pool: List<HostRoom>,
         now: Timestamp,
+        isStarved: Boolean = false,
     ): HostRoom? =
         pool
-            .filter { constraints.mayTake(entry, siblings, it) }
+            .filter { constraints.mayTake(entry, siblings, it, isStarved) }
             .minByOrNull { score(entry, siblings, it) + slownessCost(it.host, now) }
 
     private fun score(
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Job.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Job.kt
@@ -4,6 +4,7 @@
 package org.greengagepass.core.process.jobs
 
 import kotlinx.serialization.Serializable
+import org.greengagepass.core.Timestamp
 
 /** What became of a job. */
 @Serializable
@@ -56,6 +57,9 @@
     public var hasBegun: Boolean = false
         internal set
 
+    /** Since when tasks of the job could start and none is on a host, or null. */
+    internal var idleSince: Timestamp? = null
+
     /** When the job ended, for its retention; null while it is active. */
     public var endedAtEpochMillis: Long? = null
         internal set
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
@@ -69,21 +69,40 @@
         moment: Moment,
     ) {
         val step = tasks.first().step
+        placeStarved(job, tasks, pool, moment)
         val placementClass = PlacementClass(state.queueOf(job).pool.value, step.demand, step.constraints, step.sharing)
         if (placementClass in waitedFor) return
         val waiting = tasks.filter { it.state == TaskState.Waiting }
-        val isPlaced = waiting.all { placeOne(job, it, tasks, pool, moment) }
+        val isPlaced = waiting.all { placeOne(job, it, tasks, PlacementOffer(pool, moment)) }
         if (!isPlaced && step.constraints.tasksPerHostMaximum == null) waitedFor += placementClass
     }
 
+    /** Places one task of a job that has had nothing on a host for too long, so that every job goes on. */
+    private fun placeStarved(
+        job: Job,
+        tasks: List<TaskEntry>,
+        pool: List<HostRoom>,
+        moment: Moment,
+    ) {
+        if (job.tasks.any { it.placedOn != null }) {
+            job.idleSince = null
+            return
+        }
+        val since = job.idleSince ?: moment.now.also { job.idleSince = it }
+        if (moment.now.millisSince(since) < STARVED_MILLIS) return
+        tasks
+            .firstOrNull { it.state == TaskState.Waiting }
+            ?.let { placeOne(job, it, tasks, PlacementOffer(pool, moment, isStarved = true)) }
+    }
+
     private fun placeOne(
         job: Job,
         entry: TaskEntry,
         siblings: List<TaskEntry>,
-        pool: List<HostRoom>,
-        moment: Moment,
+        offer: PlacementOffer,
     ): Boolean {
-        val room = scoring.best(entry, siblings, pool, moment.now) ?: return false
+        val moment = offer.moment
+        val room = scoring.best(entry, siblings, offer.rooms, moment.now, offer.isStarved) ?: return false
         scoring.take(entry.step, room)
         transitions.place(job, entry, room.host, entry.lastRun + 1, moment)
         return true
@@ -115,6 +134,16 @@
     }
 }
 
+/** The hosts that a task may choose from; one of a job that has waited for too long is not choosy. */
+private class PlacementOffer(
+    val rooms: List<HostRoom>,
+    val moment: Moment,
+    val isStarved: Boolean = false,
+)
+
+/** Longest time that a job waits for room that disturbs nobody while nothing of it is on a host, in milliseconds. */
+private const val STARVED_MILLIS = 1_200L
+
 /** Tasks that fit the same hosts. */
 private data class PlacementClass(
     val pool: String,
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/LoadDecisionsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/LoadDecisionsTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.filterIsInstance
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -71,6 +72,26 @@
         expectThat(bench.starts(810).map { it.order.run.task.job }).isEqualTo(listOf(JobId("batch")))
     }
 
+    @Test
+    fun `a job that nobody has room for still goes on, with one task at a time`() {
+        // Guards against a job that never runs because serving tasks are always at their bound.
+        bench.connect(description(first), 0)
+        bench.submit("service", specification(serving), 0)
+        val run =
+            bench
+                .starts(10)
+                .single()
+                .order.run
+        bench.submit("batch", specification(filling.copy(taskCount = 4)), 400)
+        val started = ArrayList<Long>()
+        for (millis in 400L..4_000L step 400L) {
+            bench.report(first, millis, running = listOf(running(run, measurement = 19)))
+            bench.starts(millis + 10).forEach { _ -> started += millis }
+        }
+        expectThat(started).hasSize(1)
+        expectThat(started.single()).isLessThan(2_400)
+    }
+
     @Test
     fun `spare time is what its users get, not what nobody reserved`() {
         val reserved = serving.copy(demand = Resources(milliCores = 16_000))
