--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerSettings.kt
@@ -9,7 +9,7 @@
     val leaseMillis: Long,
     /** How long the scheduler grants leases without having proved its leadership again. */
     val leadershipMillis: Long,
-    /** Checkpointed or not, a task that stands still this much longer than estimated is moved. */
+    /** How long a run may use no processor time before it is moved to another host. */
     val stalledMillis: Long = STALLED_MILLIS,
     /** How long an ended job is remembered. */
     val retentionMillis: Long,
@@ -31,7 +31,7 @@
         /** Covers the end of a task that is killed when its lease lapses. */
         private const val LEASE_MARGIN_MILLIS = 200L
 
-        /** Three reports of a host in a row, so that one measurement of a task that has just begun is not enough. */
+        /** Four reports of a host in a row, so that one measurement of a task that has just begun is not enough. */
         private const val STALLED_MILLIS = 1_500L
     }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/ConfigurationFollower.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/ConfigurationFollower.kt
@@ -15,7 +15,7 @@
     private val feed: OperatorFeed,
     private val clock: () -> Moment,
 ) {
-    private val proof = LeadershipProof(FRESH_MILLIS)
+    private val proof = FreshnessProof(FRESH_MILLIS)
     private var isLost = false
 
     /** The newest configuration known, or null before the first. */
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipProof.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/FreshnessProof.kt
@@ -1,13 +1,14 @@
 /*
- * Until when a leader may act without having proved again that no other one has begun. A process that was suspended
- * may not trust its monotonic clock, which stood still, and a clock of the day may be set back; so both must agree.
+ * Until when something that the store confirmed may be relied on, such as that no other leader has begun. A process
+ * that was suspended may not trust its monotonic clock, which stood still, and a clock of the day may be set back; so
+ * both must agree.
  */
 package org.greengagepass.entry.process.jobs
 
 import org.greengagepass.core.process.jobs.Moment
 
-/** The last proof of leadership, good for [validMillis] from the moment at which it was asked for. */
-public class LeadershipProof(
+/** The last confirmation, good for [validMillis] from the moment at which it was asked for. */
+public class FreshnessProof(
     private val validMillis: Long,
 ) {
     private var askedAt: Moment? = null
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -38,7 +38,7 @@
     public val leadership: Leadership,
     private val scheduler: JobScheduler,
     private val writer: StateWriter,
-    private val proof: LeadershipProof,
+    private val proof: FreshnessProof,
     private val surroundings: LeaderSurroundings,
 ) {
     private val sessions = HostSessions()
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
@@ -111,7 +111,7 @@
             if (failure is StoreFailure.Fenced) epochFloor = epoch
             return null
         }
-        val proof = LeadershipProof(settings.leadershipMillis)
+        val proof = FreshnessProof(settings.leadershipMillis)
         proof.confirm(asked)
         val now = surroundings.clock().now
         val jobs = StoredJobs.decode(snapshot.records)
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
@@ -20,7 +20,7 @@
     private val epoch: Epoch,
     private var nextSequence: Long,
     private val clock: () -> Moment,
-    private val proof: LeadershipProof,
+    private val proof: FreshnessProof,
 ) {
     /** When the append that is under way was begun, or null. */
     public var writingSince: Timestamp? = null
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidateTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidateTest.kt
@@ -111,7 +111,7 @@
     @Test
     fun `a proof of leadership ends by either clock`() {
         // Guards against a process that was suspended, whose monotonic clock stood still.
-        val proof = LeadershipProof(validMillis = 3_000)
+        val proof = FreshnessProof(validMillis = 3_000)
         proof.confirm(Moment(Timestamp(0), 0))
         expectThat(proof.isValid(Moment(Timestamp(100), 100))).isTrue()
         expectThat(proof.isValid(Moment(Timestamp(100), 5_000))).isFalse()
