Judge spare processor time by the task that gets most; move crowded runs

Cause: large jobs waited beside idle cores. Looks at hosts show that a third of the filling tasks use two thirds of what they ask for on any host, at any load. SpareCapacity took that for a host that is short, and its estimate fell until it closed the host. Besides, 41% of the filler seconds were spent below 40% of full speed, a new leader took runs that its predecessor had slowed to be at full speed and never sped them up, and a host was closed by its worst service together with its worst pair.

Ruled out: lack of processor time (at 1.3 to 1.6 times the host's cores by estimate tasks still got 0.8 to 0.95 of their demand).

Change: a host is short only if none of its measured tasks gets 0.6 of what it asks for. Room is kept by serving image. Runs that are slowed for a second and save their work move to a host that has room. A new leader adopts the paces it finds. Pairs that were never seen count half of before, and what is known of a pair lasts 60 s. Stops are repeated with their first reason.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -20,6 +20,9 @@
     public var stopRequestedAt: Timestamp? = null
         internal set
 
+    /** Why the host was first asked to stop the run, or null. */
+    internal var stopReason: StopReason? = null
+
     /** The last report of the run, or null. */
     public var lastSeen: RunningTask? = null
         internal set
@@ -39,6 +42,13 @@
     /** Share of full speed that the scheduler has asked for. */
     internal var pacePercent: Int = FULL_PACE_PERCENT
 
+    /** Since when the run has been far below full speed, or null. */
+    internal var crowdedSince: Timestamp? = null
+
+    /** What the task runs; tasks of one image behave alike. */
+    internal val image: String
+        get() = entry.step.sharing.image
+
     /** True if the time that the run takes says something of its host. */
     internal val isMeasurable: Boolean
         get() =
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
@@ -27,16 +27,22 @@
     private fun isBearable(
         step: StepSpecification,
         room: HostRoom,
-    ): Boolean {
-        val left = room.interferenceRoom
-        return !step.sharing.usesSpareProcessor || left == null || effect(step, room) <= left
-    }
+    ): Boolean =
+        !step.sharing.usesSpareProcessor ||
+            room.interferenceRooms.all { (service, left) -> effect(step, room, service) <= left }
 
-    /** Effect of a task of [step] on the serving tasks of the host of [room]. */
+    /** Effect of a task of [step] on the serving tasks of image [service] on the host of [room]. */
     fun effect(
         step: StepSpecification,
         room: HostRoom,
-    ): Double = state.interference.effect(room.host, step.sharing.image, step.demand.milliCores)
+        service: String,
+    ): Double = state.interference.effect(room.host, step.sharing.image, step.demand.milliCores, service)
+
+    /** Effect of a task of [step] on the serving task that it slows most on the host of [room]. */
+    fun worstEffect(
+        step: StepSpecification,
+        room: HostRoom,
+    ): Double = state.interference.worstEffect(room.host, step.sharing.image, step.demand.milliCores)
 
     private fun hasLabel(
         constraints: StepConstraints,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReports.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReports.kt
@@ -19,7 +19,7 @@
         val seen = report.running.mapTo(HashSet()) { it.run }
         report.running.forEach { handleRunning(host, it, moment) }
         state.interference.learn(host, moment.now)
-        host.spare.learn(host.description.capacity.milliCores, host.runs.values)
+        host.spare.learn(host.description.capacity.milliCores, host.runs.values, moment.now)
         host.runs.values
             .filter { it.run !in seen }
             .forEach { handleUnlisted(host, it, report, moment) }
@@ -46,12 +46,23 @@
         if (held == null || held.run != task.run) {
             stopUnexpected(host, task.run, moment)
         } else {
+            if (held.lastSeen == null) adoptPace(held, task)
             held.isConfirmed = true
             held.lastSeen = task
-            if (isStopDue(held, moment)) transitions.stop(host, held, StopReason.JOB_ENDED, moment)
+            if (isStopDue(held, moment)) transitions.stop(host, held, held.stopReason ?: StopReason.JOB_ENDED, moment)
         }
     }
 
+    /** A run that this leader did not start may have been slowed by the one before. */
+    private fun adoptPace(
+        held: HeldRun,
+        task: RunningTask,
+    ) {
+        // No run is slowed to nothing, so that 0 is one that has not begun to work.
+        if (!held.entry.step.sharing.usesSpareProcessor || held.isOrdered || task.workPercent <= 0) return
+        held.pacePercent = task.workPercent.coerceAtMost(HeldRun.FULL_PACE_PERCENT)
+    }
+
     /** A run of a job that has ended is stopped, and stopped again while it is still listed. */
     private fun isStopDue(
         held: HeldRun,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -27,8 +27,8 @@
     val reservedShare: Double
         get() = share(reserved, host.description.capacity)
 
-    /** Room for effects on the serving tasks of the host, less what is not measured yet; null without such tasks. */
-    var interferenceRoom: Double? = null
+    /** Room for effects on the serving tasks of the host by their image, less what is not measured yet. */
+    val interferenceRooms = HashMap<String, Double>()
 
     fun take(step: StepSpecification) {
         reserved += step.reservation
@@ -82,13 +82,12 @@
         now: Timestamp,
     ): HostRoom {
         val room = HostRoom(host)
-        val unmeasured =
-            host.runs.values
-                .filter {
-                    it.entry.step.sharing.usesSpareProcessor &&
-                        now.millisSince(it.placedAt) < MEASURED_AFTER_MILLIS
-                }.sumOf { constraints.effect(it.entry.step, room) }
-        room.interferenceRoom = state.interference.excess(host)?.let { -it - unmeasured }
+        room.interferenceRooms += state.interference.excesses(host).mapValues { (_, excess) -> -excess }
+        host.runs.values
+            .filter {
+                it.entry.step.sharing.usesSpareProcessor &&
+                    now.millisSince(it.placedAt) < MEASURED_AFTER_MILLIS
+            }.forEach { takeInterferenceRoom(it.entry.step, room) }
         return room
     }
 
@@ -98,12 +97,14 @@
         room: HostRoom,
     ) {
         room.take(step)
-        if (step.sharing.usesSpareProcessor) {
-            room.interferenceRoom =
-                room.interferenceRoom?.minus(constraints.effect(step, room))
-        }
+        if (step.sharing.usesSpareProcessor) takeInterferenceRoom(step, room)
     }
 
+    private fun takeInterferenceRoom(
+        step: StepSpecification,
+        room: HostRoom,
+    ): Unit = room.interferenceRooms.replaceAll { service, left -> left - constraints.effect(step, room, service) }
+
     /** The host with the lowest score that may take [entry], one of [siblings], or null. */
     fun best(
         entry: TaskEntry,
@@ -147,7 +148,7 @@
     ): Double =
         when {
             step.sharing.usesSpareProcessor ->
-                room.spareLoadWith(step) + SERVING_NEIGHBOUR_COST * constraints.effect(step, room)
+                room.spareLoadWith(step) + SERVING_NEIGHBOUR_COST * constraints.worstEffect(step, room)
             step.sharing.latencyTargetMillis != null -> SERVING_NEIGHBOUR_COST * room.spareLoad()
             else -> 0.0
         }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Interference.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Interference.kt
@@ -39,28 +39,53 @@
         }
     }
 
-    /** How far the worst serving task of [host] is above the latency that is aimed at; negative if all are below. */
-    internal fun excess(host: Host): Double? =
-        serving(host).maxOfOrNull { held ->
-            val target = held.entry.step.sharing.latencyTargetMillis ?: 1
-            val measured = held.lastSeen?.measurement?.coerceAtLeast(1) ?: 1
-            ln(measured / (target * AIMED_SHARE))
-        }
+    /**
+     * How far the serving tasks of [host] are above the latency that is aimed at, by their image: the logarithm of the
+     * ratio for the worst task of each, negative below.
+     */
+    internal fun excesses(host: Host): Map<String, Double> =
+        serving(host)
+            .groupBy { it.entry.step.sharing.image }
+            .mapValues { (_, runs) -> runs.maxOf(::excess) }
 
-    /** Effect of a task of [image] that uses [milliCores] on the serving task of [host] that it slows most. */
+    private fun excess(held: HeldRun): Double {
+        val target = held.entry.step.sharing.latencyTargetMillis ?: 1
+        val measured = held.lastSeen?.measurement?.coerceAtLeast(1) ?: 1
+        return ln(measured / (target * AIMED_SHARE))
+    }
+
+    /** Effect of a task of [image] that uses [milliCores] of [host] on the serving tasks of image [service] there. */
     internal fun effect(
         host: Host,
         image: String,
         milliCores: Long,
-    ): Double {
-        val share = share(host, milliCores.toInt())
-        return host.runs.values
+        service: String,
+    ): Double = ln(slowdown(host, image, milliCores, service).ratio)
+
+    /** The largest effect that is likely by what is known, for tasks of which little has been seen. */
+    internal fun likelyEffect(
+        host: Host,
+        image: String,
+        milliCores: Long,
+        service: String,
+    ): Double = slowdown(host, image, milliCores, service).let { ln(it.ratio) + it.uncertainty }
+
+    /** Effect of a task of [image] that uses [milliCores] on the serving task of [host] that it slows most. */
+    internal fun worstEffect(
+        host: Host,
+        image: String,
+        milliCores: Long,
+    ): Double =
+        host.runs.values
             .filter { it.entry.step.sharing.latencyTargetMillis != null }
-            .maxOfOrNull { held ->
-                val service = WorkKind(held.entry.step.sharing.image)
-                ln(model.slowdown(service, WorkKind(image), share).ratio)
-            } ?: 0.0
-    }
+            .maxOfOrNull { effect(host, image, milliCores, it.entry.step.sharing.image) } ?: 0.0
+
+    private fun slowdown(
+        host: Host,
+        image: String,
+        milliCores: Long,
+        service: String,
+    ) = model.slowdown(WorkKind(service), WorkKind(image), share(host, milliCores.toInt()))
 
     private fun serving(host: Host): List<HeldRun> =
         host.runs.values.filter {
@@ -79,11 +104,14 @@
         /** Latency that is aimed at, as a share of the bound; measurements lag by half a second. */
         private const val AIMED_SHARE = 0.8
 
-        /** A pair that was never seen is taken to slow by a quarter at a tenth of the host. */
+        /**
+         * Most pairs hardly disturb each other and a few do strongly, for as long as they were seen: a pair that was
+         * never seen is taken to slow by a tenth at a tenth of the host.
+         */
         private val MEMORY =
             InterferenceMemory(
-                halfLifeMillis = 15_000,
-                priorMean = 2.0,
+                halfLifeMillis = 60_000,
+                priorMean = 1.0,
                 priorVariance = 4.0,
                 pairVarianceMinimum = 0.3,
                 baseVarianceMinimum = 0.02,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/InterferenceGuard.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/InterferenceGuard.kt
@@ -29,62 +29,70 @@
         val fillers = host.runs.values.filter { it.entry.step.sharing.usesSpareProcessor && it.isConfirmed }
         val sinceChange = changedAt[host.incarnation]?.let { now.millisSince(it) } ?: Long.MAX_VALUE
         if (fillers.isEmpty() || sinceChange < PAUSE_MILLIS) return
-        val excess = state.interference.excess(host) ?: -1.0
+        val excesses = state.interference.excesses(host)
+        val worst = excesses.values.maxOrNull() ?: -1.0
         val paces =
             when {
-                excess > 0 -> slowed(host, fillers, excess)
-                excess < -ROOM_MINIMUM -> spedUp(host, fillers, -excess)
+                worst > 0 -> slowed(host, fillers, excesses.filterValues { it > 0 })
+                worst < -ROOM_MINIMUM -> spedUp(host, fillers, excesses)
                 else -> emptyMap()
             }.filter { (held, percent) -> held.pacePercent != percent }
         if (paces.isEmpty()) return
         changedAt[host.incarnation] = now
         paces.forEach { (held, percent) -> pace(host, held, percent) }
-        val detail = "excess ${(excess * PERCENT).toInt()}%, percents ${paces.values.joinToString()}"
+        val detail = "excess ${(worst * PERCENT).toInt()}%, percents ${paces.values.joinToString()}"
         state.outbox.note(Decision("paced", host = host.incarnation, detail = detail))
     }
 
-    /** Slows the worst tasks first, each as far as the model says is needed. */
+    /** Slows the tasks that are most to blame first, each as far as the model says is needed. */
     private fun slowed(
         host: Host,
         fillers: List<HeldRun>,
-        excess: Double,
+        excesses: Map<String, Double>,
     ): Map<HeldRun, Int> {
-        var left = excess
-        return fillers
-            .sortedByDescending { effect(host, it) }
-            .associateWith { held ->
-                val effect = effect(host, held).coerceAtLeast(EFFECT_MINIMUM)
+        val percents = fillers.associateWithTo(LinkedHashMap()) { it.pacePercent }
+        excesses.forEach { (service, excess) ->
+            var left = excess
+            val blame = percents.mapValues { (held, percent) -> likelyEffect(host, held, percent, service) }
+            blame.entries.sortedByDescending { it.value }.forEach { (held, effect) ->
                 val kept = if (left <= 0) 1.0 else (1.0 - left / effect).coerceAtLeast(0.0)
                 left -= effect * (1.0 - kept)
-                (held.pacePercent * kept).toInt().coerceAtLeast(PACE_PERCENT_MINIMUM)
+                percents[held] = (percents.getValue(held) * kept).toInt().coerceAtLeast(PACE_PERCENT_MINIMUM)
             }
+        }
+        return percents
     }
 
     /** Speeds the least harmful tasks up first. */
     private fun spedUp(
         host: Host,
         fillers: List<HeldRun>,
-        room: Double,
+        excesses: Map<String, Double>,
     ): Map<HeldRun, Int> {
-        var left = room * ROOM_USED
+        val rooms = excesses.mapValuesTo(LinkedHashMap()) { (_, excess) -> -excess * ROOM_USED }
         return fillers
             .filter { it.pacePercent < HeldRun.FULL_PACE_PERCENT }
-            .sortedBy { effect(host, it) }
+            .sortedBy { state.interference.worstEffect(host, it.image, it.entry.step.demand.milliCores) }
             .associateWith { held ->
-                val effectOfPercent = effect(host, held).coerceAtLeast(EFFECT_MINIMUM) / held.pacePercent
-                val gained = (left / effectOfPercent).toInt().coerceIn(0, HeldRun.FULL_PACE_PERCENT - held.pacePercent)
-                left -= gained * effectOfPercent
+                val effects = rooms.mapValues { (service, _) -> likelyEffect(host, held, 1, service) }
+                val most = effects.minOfOrNull { (service, effect) -> (rooms.getValue(service) / effect).toInt() }
+                val missing = HeldRun.FULL_PACE_PERCENT - held.pacePercent
+                val gained = (most ?: missing).coerceIn(0, missing)
+                effects.forEach { (service, effect) -> rooms.merge(service, -gained * effect, Double::plus) }
                 held.pacePercent + gained
             }
     }
 
-    /** Effect at the present pace. */
-    private fun effect(
+    /** Effect of [held] at a pace of [percent] on the serving tasks of image [service]. */
+    private fun likelyEffect(
         host: Host,
         held: HeldRun,
+        percent: Int,
+        service: String,
     ): Double {
-        val milliCores = held.entry.step.demand.milliCores * held.pacePercent / HeldRun.FULL_PACE_PERCENT
-        return state.interference.effect(host, held.entry.step.sharing.image, milliCores)
+        val milliCores = held.entry.step.demand.milliCores
+        val effect = state.interference.likelyEffect(host, held.image, milliCores, service)
+        return effect.coerceAtLeast(EFFECT_MINIMUM) * percent / HeldRun.FULL_PACE_PERCENT
     }
 
     private fun pace(
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
@@ -26,6 +26,7 @@
     private val guard = InterferenceGuard(state)
     private val stalls = StalledRuns(state, transitions)
     private val slowRuns = SlowRuns(state, transitions)
+    private val crowdedRuns = CrowdedRuns(state, transitions)
 
     /** Handles calls of callers. */
     public val callers: CallerDecisions = CallerDecisions(state, transitions)
@@ -47,6 +48,7 @@
         stalls.stop(moment)
         slowRuns.move(moment)
         guard.adjust(moment)
+        if (mayStart) crowdedRuns.move(moment)
         if (mayStart) placement.run(moment)
         state.book.forgetEndedBefore(moment.epochMillis - state.settings.retentionMillis)
     }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
@@ -19,7 +19,7 @@
         val rooms =
             state.hosts
                 .all()
-                .filter { isEligible(it, moment) }
+                .filter { state.mayPlaceOn(it, moment) }
                 .map { scoring.roomOf(it, moment.now) }
         if (rooms.isEmpty()) return
         val waitedFor = HashSet<PlacementClass>()
@@ -29,16 +29,6 @@
             .forEach { placeJob(it, rooms, waitedFor, moment) }
     }
 
-    private fun isEligible(
-        host: Host,
-        moment: Moment,
-    ): Boolean =
-        host.isResponsive(moment.now) &&
-            !host.description.isDraining &&
-            host.leaseUntilHostClock > 0 &&
-            moment.now >= host.pausedUntil &&
-            host.description.failureDomain !in state.configuration.failureDomainsOut
-
     private fun placeJob(
         job: Job,
         rooms: List<HostRoom>,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
@@ -45,6 +45,7 @@
     ) {
         held.isOrdered = true
         held.stopRequestedAt = moment.now
+        held.stopReason = reason
         state.outbox.afterStore(SchedulerEffect.Stop(host.incarnation, held.run, reason))
         val detail = reason.name.lowercase()
         state.outbox.note(Decision("stopping", held.run.task.job, held.run, host.incarnation, detail))
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
@@ -59,6 +59,9 @@
 
     /** Its host has become slow. */
     SLOW_HOST,
+
+    /** The run was slowed for its neighbours' sake and goes on elsewhere. */
+    CROWDED,
 }
 
 /** A decision that changes what becomes of a job or a task, for the log. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -51,6 +51,17 @@
     public fun queueOf(job: Job): QueueDefinition =
         configuration.queues[job.definition.queue.name] ?: job.definition.queue
 
+    /** True if [host] may get tasks at [moment]. */
+    internal fun mayPlaceOn(
+        host: Host,
+        moment: Moment,
+    ): Boolean =
+        host.isResponsive(moment.now) &&
+            !host.description.isDraining &&
+            host.leaseUntilHostClock > 0 &&
+            moment.now >= host.pausedUntil &&
+            host.description.failureDomain !in configuration.failureDomainsOut
+
     private fun restore(
         entry: TaskEntry,
         startedLeadingAt: Timestamp,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SpareCapacity.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SpareCapacity.kt
@@ -4,6 +4,8 @@
  */
 package org.greengagepass.core.process.jobs
 
+import org.greengagepass.core.Timestamp
+
 /** Estimate for one host, in thousandths of a core. */
 public class SpareCapacity {
     private var estimate: Double? = null
@@ -14,24 +16,43 @@
         runs: Collection<HeldRun>,
     ): Long = (estimate ?: expected(capacity, runs)).toLong().coerceIn(0, capacity)
 
-    /** Learns from what [runs] have got. */
+    /**
+     * Learns from what [runs] have got. Many tasks use less than they ask for, so a host is short of processor time
+     * only if none of them gets what it asks for.
+     */
     internal fun learn(
         capacity: Long,
         runs: Collection<HeldRun>,
+        now: Timestamp,
     ) {
-        val users = runs.filter { it.entry.step.sharing.usesSpareProcessor && (it.lastSeen?.measurement ?: -1) >= 0 }
-        val wanted = users.sumOf { it.entry.step.demand.milliCores * it.pacePercent / HeldRun.FULL_PACE_PERCENT }
-        val got = users.sumOf { it.lastSeen?.measurement ?: 0 }
+        val users = runs.filter { it.entry.step.sharing.usesSpareProcessor }
         val bound = expected(capacity, runs)
-        val known = estimate ?: bound
+        val known = (estimate ?: bound).let { it + (bound - it) * FORGETTING }
+        val best = users.filter { isMeasured(it, now) }.maxOfOrNull(::gotShare)
+        val wanted = users.sumOf { it.entry.step.demand.milliCores * it.pacePercent / HeldRun.FULL_PACE_PERCENT }
+        val got = users.sumOf { it.lastSeen?.measurement?.coerceAtLeast(0) ?: 0 }
         estimate =
             when {
-                wanted == 0L -> known + (bound - known) * FORGETTING
-                got < wanted * SATURATED -> known + (got / SATURATED - known) * LEARNING
+                best == null -> known
+                best < SATURATED -> known + (got - known) * LEARNING
                 else -> maxOf(known, wanted * HEADROOM)
             }.coerceIn(0.0, capacity.toDouble())
     }
 
+    private fun gotShare(held: HeldRun): Double =
+        (held.lastSeen?.measurement ?: 0).toDouble() /
+            held.entry.step.demand.milliCores
+                .coerceAtLeast(1)
+
+    /** True if the last measurement covers only work at full pace. */
+    private fun isMeasured(
+        held: HeldRun,
+        now: Timestamp,
+    ): Boolean =
+        held.lastSeen != null &&
+            held.pacePercent == HeldRun.FULL_PACE_PERCENT &&
+            now.millisSince(held.placedAt) >= MEASURED_AFTER_MILLIS
+
     private fun expected(
         capacity: Long,
         runs: Collection<HeldRun>,
@@ -50,8 +71,11 @@
         /** Services are sized for peaks of about twice their usual load. */
         private const val SERVING_USE = 0.5
 
-        /** A measurement is rough; below this share of what they want, tasks are short of processor time. */
-        private const val SATURATED = 0.8
+        /** Tasks were seen to use two thirds of what they ask for; below that they are short of processor time. */
+        private const val SATURATED = 0.6
+
+        /** A measurement covers half a second and is reported within another. */
+        private const val MEASURED_AFTER_MILLIS = 900L
 
         /** A measurement covers half a second, so that three of them replace what was known. */
         private const val LEARNING = 0.4
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskEntry.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskEntry.kt
@@ -41,6 +41,9 @@
     /** True if the task was moved away from a slow host; it is not moved again. */
     internal var wasMoved: Boolean = false
 
+    /** How often the task was moved away from serving tasks that it disturbed. */
+    internal var movesFromCrowds: Int = 0
+
     /** Host on which the last failed run was; another one is preferred. */
     public var failedOn: HostIncarnation? = null
         internal set
