Order no start again on an executor that leaves; test silent connections

Cause: a start without an answer is ordered again until one comes. The check that the executor has not said that it leaves was made before the first try only, so that a later try could start a task long after that word when calls to the executor failed.

Change: the check stands before each try; a run that may already have started is stopped.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostOrders.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostOrders.kt
@@ -13,10 +13,14 @@
 import org.greengagepass.services.process.HostFailure
 import org.greengagepass.services.process.TaskHost
 
-/** Gives orders to [host] as long as [isCurrent] says that the scheduler who gave them still leads. */
+/**
+ * Gives orders to [host] as long as [isCurrent] says that the scheduler who gave them still leads. Nothing is started
+ * once the executor says that it leaves, since its own word is newer than the scheduler's view.
+ */
 internal class HostOrders(
     private val host: TaskHost,
     private val isCurrent: (HostCall) -> Boolean,
+    private val isLeaving: () -> Boolean,
 ) {
     /** What became of [order]; null if its scheduler was lost before that is known. */
     suspend fun start(
@@ -27,13 +31,17 @@
         var outcome: StartOutcome? = null
         while (outcome == null && isCurrent(call)) {
             outcome =
-                host.start(call, order).fold(
-                    { failure ->
-                        isUncertain = isUncertain || failure is HostFailure.NoAnswer
-                        afterFailure(order, failure)
-                    },
-                    { answered -> settle(call, order.run, answered, isUncertain) },
-                )
+                if (isLeaving()) {
+                    settle(call, order.run, StartOutcome.UNAVAILABLE, isUncertain)
+                } else {
+                    host.start(call, order).fold(
+                        { failure ->
+                            isUncertain = isUncertain || failure is HostFailure.NoAnswer
+                            afterFailure(order, failure)
+                        },
+                        { answered -> settle(call, order.run, answered, isUncertain) },
+                    )
+                }
         }
         return outcome
     }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/OrderExecution.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/OrderExecution.kt
@@ -37,7 +37,7 @@
     private val metrics: HostMetrics,
     private val state: HostState,
 ) {
-    private val orders = HostOrders(host, state::isCurrent)
+    private val orders = HostOrders(host, state::isCurrent) { state.isLeaving }
 
     fun start(
         message: FromScheduler.Start,
@@ -45,8 +45,7 @@
     ) {
         val call = HostCall(message.incarnation, epoch, message.leaseUntilHostClock)
         scope.launch {
-            // The executor's own word that it leaves is newer than the scheduler's view.
-            val outcome = if (state.isLeaving) StartOutcome.UNAVAILABLE else orders.start(call, message.order)
+            val outcome = orders.start(call, message.order)
             metrics.started(outcome)
             if (outcome != null) {
                 val result = StartResult(message.incarnation, message.order.run, outcome, state.lookNumber)
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/HostOrdersTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/HostOrdersTest.kt
@@ -32,7 +32,7 @@
     fun `a start without an answer is ordered again`() =
         runTest {
             val host = FakeTaskHost(noAnswer, noAnswer, StartOutcome.STARTED.right())
-            expectThat(HostOrders(host) { true }.start(call, order)).isEqualTo(StartOutcome.STARTED)
+            expectThat(HostOrders(host, { true }, { false }).start(call, order)).isEqualTo(StartOutcome.STARTED)
             expectThat(host.calls.toList()).isEqualTo(listOf("start", "start", "start"))
         }
 
@@ -41,7 +41,7 @@
         runTest {
             // Guards against placing the task elsewhere while the first order may still be carried out.
             val host = FakeTaskHost(noAnswer, StartOutcome.NO_ROOM.right())
-            expectThat(HostOrders(host) { true }.start(call, order)).isEqualTo(StartOutcome.SUPERSEDED)
+            expectThat(HostOrders(host, { true }, { false }).start(call, order)).isEqualTo(StartOutcome.SUPERSEDED)
             expectThat(host.calls.toList()).isEqualTo(listOf("start", "start", "stop"))
         }
 
@@ -49,7 +49,7 @@
     fun `a refusal at once needs no stop`() =
         runTest {
             val host = FakeTaskHost(StartOutcome.NO_ROOM.right())
-            expectThat(HostOrders(host) { true }.start(call, order)).isEqualTo(StartOutcome.NO_ROOM)
+            expectThat(HostOrders(host, { true }, { false }).start(call, order)).isEqualTo(StartOutcome.NO_ROOM)
             expectThat(host.calls.toList()).isEqualTo(listOf("start"))
         }
 
@@ -58,7 +58,25 @@
         runTest {
             val host = FakeTaskHost(noAnswer, noAnswer)
             var looks = 0
-            expectThat(HostOrders(host) { looks++ < 2 }.start(call, order)).isNull()
+            expectThat(HostOrders(host, { looks++ < 2 }, { false }).start(call, order)).isNull()
+        }
+
+    @Test
+    fun `nothing is started on an executor that leaves`() =
+        runTest {
+            val host = FakeTaskHost()
+            expectThat(HostOrders(host, { true }, { true }).start(call, order)).isEqualTo(StartOutcome.UNAVAILABLE)
+            expectThat(host.calls.toList()).isEqualTo(emptyList())
+        }
+
+    @Test
+    fun `a start without an answer is not ordered again once the executor leaves`() =
+        runTest {
+            // Guards against starts seconds after the executor's word that it leaves, when calls to it fail.
+            val host = FakeTaskHost(noAnswer, StartOutcome.STARTED.right())
+            val orders = HostOrders(host, { true }, { host.calls.isNotEmpty() })
+            expectThat(orders.start(call, order)).isEqualTo(StartOutcome.SUPERSEDED)
+            expectThat(host.calls.toList()).isEqualTo(listOf("start", "stop"))
         }
 
     private class FakeTaskHost(
--- /dev/null
+++ b/protocol/src/test/kotlin/org/greengagepass/protocol/connection/SchedulerDialerTest.kt
@@ -0,0 +1,155 @@
+/*
+ * The dialer against a scheduler that answers pings, and against one whose connection has gone silent.
+ */
+package org.greengagepass.protocol.connection
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.greengagepass.core.Epoch
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotNull
+import java.io.DataInputStream
+import java.io.DataOutputStream
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+class SchedulerDialerTest {
+    private val server = ServerSocket(0, CONNECTIONS_MAXIMUM, InetAddress.getLoopbackAddress())
+    private val outgoing = MessageCodec(FromScheduler.serializer())
+    private val incoming = MessageCodec(ToScheduler.serializer())
+    private val pings = AtomicInteger()
+    private val events = RecordingEvents("127.0.0.1:${server.localPort}")
+
+    @AfterEach
+    fun close() = server.close()
+
+    @Test
+    fun `a connection that has gone silent is given up and dialled again`() {
+        // Guards against waiting for ever for a leader whose packets vanish without a reset.
+        serve(answersPings = false)
+        dial {
+            val hasRedialled = withTimeoutOrNull(WAIT_MILLIS) { while (events.connected.get() < 2) delay(POLL_MILLIS) }
+            expectThat(hasRedialled).isNotNull()
+            expectThat(events.disconnected.get()).isGreaterThan(0)
+            expectThat(pings.get()).isGreaterThan(0)
+        }
+    }
+
+    @Test
+    fun `a connection on which pings are answered stays although nothing else is sent`() {
+        serve(answersPings = true)
+        dial {
+            withTimeoutOrNull(WAIT_MILLIS) { while (pings.get() < PINGS_SEEN) delay(POLL_MILLIS) }
+            expectThat(pings.get()).isGreaterThan(PINGS_SEEN - 1)
+            expectThat(events.connected.get()).isEqualTo(1)
+            expectThat(events.disconnected.get()).isEqualTo(0)
+        }
+    }
+
+    private fun dial(check: suspend () -> Unit) =
+        runBlocking {
+            FrameConnector(Dispatchers.IO).use { connector ->
+                val scope = CoroutineScope(coroutineContext)
+                val dialing = scope.launch { SchedulerDialer(connector, this, events).run() }
+                check()
+                dialing.cancelAndJoin()
+            }
+        }
+
+    private fun serve(answersPings: Boolean) =
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = accept() ?: break
+                thread(isDaemon = true) { answer(socket, answersPings) }
+            }
+        }
+
+    private fun accept(): Socket? =
+        try {
+            server.accept()
+        } catch (_: IOException) {
+            // The test has ended and closed the server.
+            null
+        }
+
+    private fun answer(
+        socket: Socket,
+        answersPings: Boolean,
+    ) {
+        try {
+            val input = DataInputStream(socket.getInputStream())
+            while (true) answerOne(input, DataOutputStream(socket.getOutputStream()), answersPings)
+        } catch (_: IOException) {
+            // The dialer has closed the connection.
+        }
+    }
+
+    private fun answerOne(
+        input: DataInputStream,
+        output: DataOutputStream,
+        answersPings: Boolean,
+    ) {
+        val message = incoming.decode(ByteArray(input.readInt()).also { input.readFully(it) }).getOrNull()
+        if (message is ToScheduler.Ping) pings.incrementAndGet()
+        val reply =
+            when (message) {
+                is ToScheduler.EntryHello -> FromScheduler.Welcome(Epoch(1))
+                is ToScheduler.Ping -> FromScheduler.Pong(canStore = true).takeIf { answersPings }
+                else -> null
+            } ?: return
+        val bytes = outgoing.encode(reply)
+        output.writeInt(bytes.size)
+        output.write(bytes)
+        output.flush()
+    }
+
+    private class RecordingEvents(
+        private val address: String,
+    ) : SchedulerLineEvents {
+        val connected = AtomicInteger()
+        val disconnected = AtomicInteger()
+
+        override fun addresses() = listOf(address)
+
+        override fun hello() = ToScheduler.EntryHello(PROTOCOL_VERSION, "entry")
+
+        override fun onConnected(
+            epoch: Epoch,
+            line: FramedConnection<ToScheduler, FromScheduler>,
+        ) {
+            connected.incrementAndGet()
+        }
+
+        override fun onMessage(message: FromScheduler) = Unit
+
+        override fun isCurrent() = true
+
+        override fun onDisconnected() {
+            disconnected.incrementAndGet()
+        }
+    }
+
+    private companion object {
+        private const val CONNECTIONS_MAXIMUM = 10
+        private const val POLL_MILLIS = 20L
+
+        /** Far beyond the silence after which a connection is given up. */
+        private const val WAIT_MILLIS = 10_000L
+
+        /** More pings than fit into the silence that ends a connection. */
+        private const val PINGS_SEEN = 5
+    }
+}
