--- a/agent/src/main/kotlin/org/greengagepass/agent/AgentCommand.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/AgentCommand.kt
@@ -26,8 +26,10 @@
 private const val DEFAULT_RESERVE_MEMORY_MEGABYTES = 2_048L
 private const val DEFAULT_LISTEN = "127.0.0.1:7201"
 
-/** Runs an agent until the process is told to end. */
-internal class AgentCommand : CoreCliktCommand(name = "greengagepass-agent") {
+/** Runs an agent until the process is told to end; [environment] gives the value of an environment variable. */
+internal class AgentCommand(
+    private val environment: (String) -> String? = System::getenv,
+) : CoreCliktCommand(name = "greengagepass-agent") {
     private val host by option("--host", help = "Name of this host (required)").required()
     private val failureDomain by option("--failure-domain", help = "Failure domain of this host (required)").required()
     private val rack by option("--rack", help = "Rack of this host (required)").required()
@@ -58,7 +60,11 @@
         .default("info")
 
     init {
-        context { autoEnvvarPrefix = "GREENGAGEPASS" }
+        context {
+            autoEnvvarPrefix = "GREENGAGEPASS"
+            // The core of Clikt reads no environment variables by itself.
+            readEnvvar = environment
+        }
     }
 
     override fun run() {
