Leave gangs where they are when one member is slowed

Cause: found on reading the diff. CrowdedRuns stopped any slowed run that saves its work; for a member of a gang that ends the work of all others.

Change: only runs of independent tasks move. The new test in SharedHostsTest failed before.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/CrowdedRuns.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/CrowdedRuns.kt
@@ -52,11 +52,15 @@
             return false
         }
         val since = held.crowdedSince ?: now.also { held.crowdedSince = it }
-        return held.entry.step.isCheckpointing &&
+        return isMovable(held.entry.step) &&
             held.entry.movesFromCrowds < MOVES_MAXIMUM &&
             now.millisSince(since) >= CROWDED_MILLIS
     }
 
+    /** A member of a gang that is stopped ends the others too. */
+    private fun isMovable(step: StepSpecification): Boolean =
+        step.isCheckpointing && step.coordination == StepCoordination.INDEPENDENT
+
     private companion object {
         /** Below half of its speed a run ends sooner elsewhere even if it has to be moved once more. */
         private const val CROWDED_PERCENT = 50
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/SharedHostsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/SharedHostsTest.kt
@@ -69,6 +69,15 @@
         expectThat(observe(runs, latency = 60) { bench.report(second, it) }).isEmpty()
     }
 
+    @Test
+    fun `a slowed member of a gang stays where it is`() {
+        // Guards against ending the work of a whole gang to speed up one of its members.
+        val member = filling().copy(isCheckpointing = true, coordination = StepCoordination.GANG)
+        val runs = startBeside(member)
+        bench.connect(description(second), 100)
+        expectThat(observe(runs, latency = 60) { bench.report(second, it) }).isEmpty()
+    }
+
     @Test
     fun `a new leader speeds up the runs that the one before has slowed`() {
         // Guards against runs that stay slowed for ever because the new leader takes them to be at full speed.
