--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/Scenario.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/Scenario.kt
@@ -11,8 +11,8 @@
     TestDeployment(operationMillis = operationMillis).use { deployment ->
         deployment.start()
         val client = TestClient(deployment)
-        client.publishProfiles()
         try {
+            client.publishProfiles()
             awaitUntil("each entry answers a preview") {
                 deployment.entries.all { client.request(it, "counter", "fit-preview", "warm-up").code == 0 }
             }
