Give repeated code of the job scheduler and the HTTP clients one place

- One exchange over HTTP (HttpExchange, NoHttpAnswer) for the platform's client, the stand-ins' client and upstreams; the three had the same catch clauses.
- Host and HeldRun say which runs serve, which use spare processor time, what these ask for at their pace and when a measurement covers them; this was written out in six files, one constant twice.
Unused hasServingTask removed; later() was maxOf; HostScoring lists the rooms for both of its users.
- LocalLine has its own file, as RemoteLine has.
- Tests: steps, first runs, successors and states come from JobFixtures.

Ruled out: HostReliability and WorkerHealth judge by different rules (pauses against quarantine with probes), StateWriter and StreamAppender differ in conditions and fencing; merging either changes behaviour. TaskHost and WorkerService only have the same shape.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/CrowdedRuns.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/CrowdedRuns.kt
@@ -15,15 +15,14 @@
 
     /** Stops the runs for which another host has room at full speed. */
     fun move(moment: Moment) {
-        val hosts = state.hosts.all()
         val crowded =
-            hosts.flatMap { host ->
+            state.hosts.all().flatMap { host ->
                 host.runs.values
                     .filter { isCrowded(it, moment.now) }
                     .map { host to it }
             }
         if (crowded.isEmpty()) return
-        val rooms = hosts.filter { state.mayPlaceOn(it, moment) }.map { scoring.roomOf(it, moment.now) }
+        val rooms = scoring.rooms(moment)
         crowded.forEach { (host, held) -> moveOne(host, held, rooms.filter { it.host !== host }, moment) }
     }
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -49,17 +49,35 @@
     internal val image: String
         get() = entry.step.sharing.image
 
+    /** True if the task uses only the processor time that others leave. */
+    internal val usesSpareProcessor: Boolean
+        get() = entry.step.sharing.usesSpareProcessor
+
+    /** True if the task serves users of its own. */
+    internal val isServing: Boolean
+        get() = entry.step.sharing.isServing
+
+    /** Processor time that the task asks for at its present pace, in thousandths of a core. */
+    internal val pacedMilliCores: Long
+        get() = entry.step.demand.milliCores * pacePercent / FULL_PACE_PERCENT
+
+    /** True if a measurement at [now] covers only time in which the run was there. */
+    internal fun isMeasured(now: Timestamp): Boolean = now.millisSince(placedAt) >= MEASURED_AFTER_MILLIS
+
     /** True if the time that the run takes says something of its host. */
     internal val isMeasurable: Boolean
         get() =
             isConfirmed &&
                 entry.step.lifetime == StepLifetime.FINITE &&
-                !entry.step.sharing.usesSpareProcessor &&
+                !usesSpareProcessor &&
                 entry.step.coordination == StepCoordination.INDEPENDENT
 
     public companion object {
         /** A task that is not slowed. */
         public const val FULL_PACE_PERCENT: Int = 100
+
+        /** A measurement covers half a second and is reported within another. */
+        private const val MEASURED_AFTER_MILLIS = 900L
     }
 }
 
@@ -98,6 +116,7 @@
 
     /** The host gets no new tasks before this time. */
     internal var pausedUntil: Timestamp = NEVER
+        private set
 
     /** The life of the host. */
     public val incarnation: HostIncarnation
@@ -109,6 +128,11 @@
     /** How long tasks take on the host. */
     public val speed: HostSpeed = HostSpeed()
 
+    /** Gives the host no new tasks before [time]. */
+    internal fun pauseUntil(time: Timestamp) {
+        pausedUntil = maxOf(pausedUntil, time)
+    }
+
     /** True if the host has told what it holds shortly before [now]; a silent one gets no new tasks. */
     public fun isResponsive(now: Timestamp): Boolean =
         isConnected && lastReportAt.plusMillis(REPORT_SILENCE_MILLIS) >= now
@@ -118,20 +142,17 @@
         runs.values.fold(Resources.NONE) { sum, held -> sum + held.entry.step.reservation }
 
     /** Processor time that tasks which use what others leave ask for at their present pace. */
-    public fun spareDemandMilliCores(): Long =
-        runs.values
-            .filter { it.entry.step.sharing.usesSpareProcessor }
-            .sumOf { it.entry.step.demand.milliCores * it.pacePercent / HeldRun.FULL_PACE_PERCENT }
+    public fun spareDemandMilliCores(): Long = spareUsers().sumOf { it.pacedMilliCores }
+
+    /** Runs that use only the processor time that others leave. */
+    internal fun spareUsers(): List<HeldRun> = runs.values.filter { it.usesSpareProcessor }
+
+    /** Runs that serve users of their own. */
+    internal fun servingRuns(): List<HeldRun> = runs.values.filter { it.isServing }
 
     /** Processor time that is left for them. */
     public fun spareMilliCores(): Long = spare.milliCores(description.capacity.milliCores, runs.values)
 
-    /** True if a serving task with a bound on its latency runs on the host. */
-    public fun hasServingTask(): Boolean =
-        runs.values.any {
-            it.entry.step.sharing.latencyTargetMillis != null
-        }
-
     private companion object {
         /** Two reports, which come every 400 ms at least. */
         private const val REPORT_SILENCE_MILLIS = 900L
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostDecisions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostDecisions.kt
@@ -88,7 +88,7 @@
                 held.settledAfterLook = result.lookNumber
             }
             StartOutcome.NO_ROOM, StartOutcome.UNAVAILABLE, StartOutcome.FENCED, StartOutcome.REJECTED -> {
-                host.pausedUntil = later(host.pausedUntil, moment.now.plusMillis(REFUSAL_PAUSE_MILLIS))
+                host.pauseUntil(moment.now.plusMillis(REFUSAL_PAUSE_MILLIS))
                 transitions.release(host, held, result.outcome.name.lowercase())
             }
             StartOutcome.LATE -> transitions.release(host, held, "late")
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReliability.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReliability.kt
@@ -4,8 +4,6 @@
  */
 package org.greengagepass.core.process.jobs
 
-import org.greengagepass.core.Timestamp
-
 /** Failures of hosts since their last success. */
 public class HostReliability {
     private val failures = HashMap<HostIncarnation, LinkedHashSet<TaskKey>>()
@@ -50,9 +48,3 @@
         private const val ROW_MAXIMUM = 6
     }
 }
-
-/** The later of two times. */
-internal fun later(
-    first: Timestamp,
-    second: Timestamp,
-): Timestamp = if (first >= second) first else second
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReports.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReports.kt
@@ -59,7 +59,7 @@
         task: RunningTask,
     ) {
         // No run is slowed to nothing, so that 0 is one that has not begun to work.
-        if (!held.entry.step.sharing.usesSpareProcessor || held.isOrdered || task.workPercent <= 0) return
+        if (!held.usesSpareProcessor || held.isOrdered || task.workPercent <= 0) return
         held.pacePercent = task.workPercent.coerceAtMost(HeldRun.FULL_PACE_PERCENT)
     }
 
@@ -81,7 +81,7 @@
         run: TaskRun,
         moment: Moment,
     ) {
-        host.pausedUntil = later(host.pausedUntil, moment.now.plusMillis(UNEXPECTED_PAUSE_MILLIS))
+        host.pauseUntil(moment.now.plusMillis(UNEXPECTED_PAUSE_MILLIS))
         state.outbox.afterStore(SchedulerEffect.Stop(host.incarnation, run, StopReason.NOT_EXPECTED))
         state.outbox.note(Decision("unexpected", run.task.job, run, host.incarnation))
     }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -16,10 +16,6 @@
     var spareDemandMilliCores: Long = host.spareDemandMilliCores()
         private set
 
-    /** True if a serving task with a bound on its latency is there or has been placed in this round. */
-    var hasServingTask: Boolean = host.hasServingTask()
-        private set
-
     /** Processor time that is left for them, less what was placed in this round. */
     private var spareMilliCores = host.spareMilliCores()
 
@@ -37,7 +33,6 @@
         } else {
             spareMilliCores -= step.demand.milliCores
         }
-        if (step.sharing.latencyTargetMillis != null) hasServingTask = true
     }
 
     fun giveBack(step: StepSpecification) {
@@ -76,18 +71,21 @@
 ) {
     private val constraints = HostConstraints(state)
 
+    /** What is left of the hosts that may get tasks at [moment]. */
+    fun rooms(moment: Moment): List<HostRoom> =
+        state.hosts
+            .all()
+            .filter { state.mayPlaceOn(it, moment) }
+            .map { roomOf(it, moment.now) }
+
     /** What is left of [host], with the effect of tasks that have been placed too recently to be measured. */
-    fun roomOf(
+    private fun roomOf(
         host: Host,
         now: Timestamp,
     ): HostRoom {
         val room = HostRoom(host)
         room.interferenceRooms += state.interference.excesses(host).mapValues { (_, excess) -> -excess }
-        host.runs.values
-            .filter {
-                it.entry.step.sharing.usesSpareProcessor &&
-                    now.millisSince(it.placedAt) < MEASURED_AFTER_MILLIS
-            }.forEach { takeInterferenceRoom(it.entry.step, room) }
+        host.spareUsers().filterNot { it.isMeasured(now) }.forEach { takeInterferenceRoom(it.entry.step, room) }
         return room
     }
 
@@ -125,7 +123,7 @@
         val step = entry.step
         val description = room.host.description
         // Serving tasks go where others of their kind are, so that fewer hosts mix them with tasks that disturb them.
-        val load = if (step.sharing.latencyTargetMillis != null) -room.reservedShare else room.reservedShare
+        val load = if (step.sharing.isServing) -room.reservedShare else room.reservedShare
         var score = load + neighbourCost(step, room)
         if (step.constraints.dataRack != null &&
             step.constraints.dataRack != description.rack
@@ -149,7 +147,7 @@
         when {
             step.sharing.usesSpareProcessor ->
                 room.spareLoadWith(step) + SERVING_NEIGHBOUR_COST * constraints.worstEffect(step, room)
-            step.sharing.latencyTargetMillis != null -> SERVING_NEIGHBOUR_COST * room.spareLoad()
+            step.sharing.isServing -> SERVING_NEIGHBOUR_COST * room.spareLoad()
             else -> 0.0
         }
 
@@ -171,9 +169,6 @@
         /** The host on which a task failed is taken only if there is no other. */
         private const val FAILED_HERE_COST = 10.0
 
-        /** A measurement covers half a second and is reported within another. */
-        private const val MEASURED_AFTER_MILLIS = 900L
-
         /** A slow host is taken only if the others are full. */
         private const val SLOWNESS_COST = 2.0
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Interference.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Interference.kt
@@ -20,20 +20,20 @@
         host: Host,
         now: Timestamp,
     ) {
-        val fillers = host.runs.values.filter { it.entry.step.sharing.usesSpareProcessor && it.lastSeen != null }
+        val fillers = host.spareUsers().filter { it.lastSeen != null }
         val shares =
             fillers
-                .groupBy { WorkKind(it.entry.step.sharing.image) }
+                .groupBy { WorkKind(it.image) }
                 .mapValues { (_, runs) -> runs.sumOf { share(host, it.lastSeen?.measurement ?: 0) } }
-        serving(host).forEach { held ->
+        measuredServing(host).forEach { held ->
             val sample =
                 SlowdownSample(
-                    service = WorkKind(held.entry.step.sharing.image),
+                    service = WorkKind(held.image),
                     latencyMillis = (held.lastSeen?.measurement ?: 0).toDouble(),
                     utilization = 0.0,
                     coreShares = shares,
                     measuredAt = now,
-                    instance = WorkKind("${held.entry.step.sharing.image} ${held.run.task}"),
+                    instance = WorkKind("${held.image} ${held.run.task}"),
                 )
             model.learn(sample)
         }
@@ -44,8 +44,8 @@
      * ratio for the worst task of each, negative below.
      */
     internal fun excesses(host: Host): Map<String, Double> =
-        serving(host)
-            .groupBy { it.entry.step.sharing.image }
+        measuredServing(host)
+            .groupBy { it.image }
             .mapValues { (_, runs) -> runs.maxOf(::excess) }
 
     private fun excess(held: HeldRun): Double {
@@ -75,10 +75,7 @@
         host: Host,
         image: String,
         milliCores: Long,
-    ): Double =
-        host.runs.values
-            .filter { it.entry.step.sharing.latencyTargetMillis != null }
-            .maxOfOrNull { effect(host, image, milliCores, it.entry.step.sharing.image) } ?: 0.0
+    ): Double = host.servingRuns().maxOfOrNull { effect(host, image, milliCores, it.image) } ?: 0.0
 
     private fun slowdown(
         host: Host,
@@ -87,10 +84,9 @@
         service: String,
     ) = model.slowdown(WorkKind(service), WorkKind(image), share(host, milliCores.toInt()))
 
-    private fun serving(host: Host): List<HeldRun> =
-        host.runs.values.filter {
-            it.entry.step.sharing.latencyTargetMillis != null && (it.lastSeen?.measurement ?: 0) > 0
-        }
+    /** Serving tasks of [host] whose latency is known. */
+    private fun measuredServing(host: Host): List<HeldRun> =
+        host.servingRuns().filter { (it.lastSeen?.measurement ?: 0) > 0 }
 
     private fun share(
         host: Host,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/InterferenceGuard.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/InterferenceGuard.kt
@@ -26,7 +26,7 @@
         host: Host,
         now: Timestamp,
     ) {
-        val fillers = host.runs.values.filter { it.entry.step.sharing.usesSpareProcessor && it.isConfirmed }
+        val fillers = host.spareUsers().filter { it.isConfirmed }
         val sinceChange = changedAt[host.incarnation]?.let { now.millisSince(it) } ?: Long.MAX_VALUE
         if (fillers.isEmpty() || sinceChange < PAUSE_MILLIS) return
         val excesses = state.interference.excesses(host)
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobSpecification.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobSpecification.kt
@@ -52,7 +52,11 @@
     val usesSpareProcessor: Boolean = false,
     /** Most tasks that may be away at once because of the scheduler's own actions. */
     val absencesMaximum: Int = 0,
-)
+) {
+    /** True for tasks that serve users of their own and have a bound on their latency. */
+    val isServing: Boolean
+        get() = latencyTargetMillis != null
+}
 
 /** One step: [taskCount] equal tasks that start once the steps in [dependsOn] are done. */
 @Serializable
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementRound.kt
@@ -16,11 +16,7 @@
 
     /** Places what can be placed at [moment]. */
     fun run(moment: Moment) {
-        val rooms =
-            state.hosts
-                .all()
-                .filter { state.mayPlaceOn(it, moment) }
-                .map { scoring.roomOf(it, moment.now) }
+        val rooms = scoring.rooms(moment)
         if (rooms.isEmpty()) return
         val waitedFor = HashSet<PlacementClass>()
         val order = PlacementOrder(moment.epochMillis)
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
@@ -149,7 +149,7 @@
         moment: Moment,
     ) {
         val pauseMillis = state.reliability.failed(host.incarnation, entry.key, entry.failedOn)
-        host.pausedUntil = later(host.pausedUntil, moment.now.plusMillis(pauseMillis))
+        host.pauseUntil(moment.now.plusMillis(pauseMillis))
         entry.failedOn = host.incarnation
         if (entry.step.lifetime == StepLifetime.STANDING) return
         entry.failures += 1
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SpareCapacity.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SpareCapacity.kt
@@ -25,11 +25,11 @@
         runs: Collection<HeldRun>,
         now: Timestamp,
     ) {
-        val users = runs.filter { it.entry.step.sharing.usesSpareProcessor }
+        val users = runs.filter { it.usesSpareProcessor }
         val bound = expected(capacity, runs)
         val known = (estimate ?: bound).let { it + (bound - it) * FORGETTING }
-        val best = users.filter { isMeasured(it, now) }.maxOfOrNull(::gotShare)
-        val wanted = users.sumOf { it.entry.step.demand.milliCores * it.pacePercent / HeldRun.FULL_PACE_PERCENT }
+        val best = users.filter { isMeasuredAtFullPace(it, now) }.maxOfOrNull(::gotShare)
+        val wanted = users.sumOf { it.pacedMilliCores }
         val got = users.sumOf { it.lastSeen?.measurement?.coerceAtLeast(0) ?: 0 }
         estimate =
             when {
@@ -45,13 +45,13 @@
                 .coerceAtLeast(1)
 
     /** True if the last measurement covers only work at full pace. */
-    private fun isMeasured(
+    private fun isMeasuredAtFullPace(
         held: HeldRun,
         now: Timestamp,
     ): Boolean =
         held.lastSeen != null &&
             held.pacePercent == HeldRun.FULL_PACE_PERCENT &&
-            now.millisSince(held.placedAt) >= MEASURED_AFTER_MILLIS
+            held.isMeasured(now)
 
     private fun expected(
         capacity: Long,
@@ -59,8 +59,8 @@
     ): Double {
         val (serving, plain) =
             runs
-                .filter { !it.entry.step.sharing.usesSpareProcessor }
-                .partition { it.entry.step.sharing.latencyTargetMillis != null }
+                .filter { !it.usesSpareProcessor }
+                .partition { it.isServing }
         val used =
             plain.sumOf { it.entry.step.demand.milliCores } +
                 serving.sumOf { it.entry.step.demand.milliCores } * SERVING_USE
@@ -74,9 +74,6 @@
         /** Tasks were seen to use two thirds of what they ask for; below that they are short of processor time. */
         private const val SATURATED = 0.6
 
-        /** A measurement covers half a second and is reported within another. */
-        private const val MEASURED_AFTER_MILLIS = 900L
-
         /** A measurement covers half a second, so that three of them replace what was known. */
         private const val LEARNING = 0.4
         private const val FORGETTING = 0.1
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/StalledRuns.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/StalledRuns.kt
@@ -16,7 +16,7 @@
                 transitions.stop(host, held, StopReason.STALLED, moment)
                 held.entry.failedOn = host.incarnation
                 val pauseMillis = state.reliability.failed(host.incarnation, held.entry.key, failedBeforeOn = null)
-                host.pausedUntil = later(host.pausedUntil, moment.now.plusMillis(pauseMillis))
+                host.pauseUntil(moment.now.plusMillis(pauseMillis))
             }
         }
     }
@@ -37,6 +37,6 @@
     private fun isIdle(held: HeldRun): Boolean =
         held.stopRequestedAt == null &&
             held.pacePercent == HeldRun.FULL_PACE_PERCENT &&
-            held.entry.step.sharing.latencyTargetMillis == null &&
+            !held.isServing &&
             held.lastSeen?.measurement == 0
 }
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
@@ -63,6 +63,20 @@
     constraints = constraints,
 )
 
+/** A step whose tasks take only the processor time that others leave. */
+internal fun fillingStep(image: String = "filler"): StepSpecification =
+    step().copy(sharing = StepSharing(image, usesSpareProcessor = true), estimatedMillis = 20_000)
+
+/** A step whose tasks serve users of their own. */
+internal fun servingStep(
+    image: String = "service",
+    milliCores: Long = 4_000,
+): StepSpecification =
+    step(milliCores = milliCores).copy(
+        lifetime = StepLifetime.STANDING,
+        sharing = StepSharing(image, latencyTargetMillis = 20),
+    )
+
 internal fun specification(vararg steps: StepSpecification) = JobSpecification("payload", steps.toList())
 
 /** A scheduler with a store that takes everything at once. */
@@ -106,6 +120,26 @@
 
     fun starts(millis: Long): List<SchedulerEffect.Start> = effects(millis).filterIsInstance<SchedulerEffect.Start>()
 
+    /** The only run that starts at [millis]. */
+    fun startedRun(millis: Long): TaskRun = starts(millis).single().order.run
+
+    /** Connects [host], hands in a job of [step] and gives its only run. */
+    fun startOn(
+        host: HostDescription,
+        step: StepSpecification,
+        job: String = "job",
+    ): TaskRun {
+        connect(host, 0)
+        submit(job, specification(step), 0)
+        return startedRun(10)
+    }
+
+    /** A scheduler that takes over what this one has stored, and leads from [startedAt] on. */
+    fun successor(startedAt: Long): SchedulerBench =
+        SchedulerBench(StoredJobs.decode(stored.values.toList()), startedAt)
+
+    fun shownStatus(job: String): JobStatus? = scheduler.state.book.shownStatus(JobId(job))
+
     fun submit(
         id: String,
         specification: JobSpecification,
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
@@ -26,21 +26,14 @@
             .get { effects }
             .filterIsInstance<SchedulerEffect.Reply>()
             .hasSize(1)
-        expectThat(
-            bench.scheduler.state.book
-                .shownStatus(JobId("job")),
-        ).isEqualTo(null)
+        expectThat(bench.shownStatus("job")).isEqualTo(null)
     }
 
     @Test
     fun `a step starts only when the steps it depends on are done`() {
         bench.connect(description(first), 0)
         bench.submit("job", specification(step(), step(dependsOn = listOf(0))), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startedRun(10)
         expectThat(run.task.step).isEqualTo(0)
         bench.report(first, 500, running = listOf(running(run)))
         expectThat(bench.starts(510)).isEmpty()
@@ -50,13 +43,7 @@
 
     @Test
     fun `an end is acknowledged only with the change that stores it`() {
-        bench.connect(description(first), 0)
-        bench.submit("job", specification(step()), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startOn(description(first), step())
         bench.report(first, 900, ends = listOf(RunEnd(1, run, RunOutcome.DONE, "")))
         expectThat(bench.scheduler.takeImmediate()).filterIsInstance<SchedulerEffect.AcknowledgeEnds>().isEmpty()
         val batch = bench.scheduler.takeBatch()
@@ -70,13 +57,7 @@
 
     @Test
     fun `a host that is cut off keeps its tasks until its lease has surely lapsed`() {
-        bench.connect(description(first), 0)
-        bench.submit("job", specification(step()), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startOn(description(first), step())
         bench.report(first, 400, running = listOf(running(run)))
         bench.scheduler.hosts.disconnected(first)
         bench.connect(description(second), 500)
@@ -93,7 +74,7 @@
         bench.connect(description(first), 0)
         bench.submit("job", specification(step()), 0)
         bench.starts(10)
-        val next = SchedulerBench(StoredJobs.decode(bench.stored.values.toList()), startedAt = 1_000)
+        val next = bench.successor(startedAt = 1_000)
         next.connect(description(second), 1_100)
         val bound = 1_000 + SETTINGS.takeoverBoundMillis
         next.report(second, bound - 20)
@@ -107,7 +88,7 @@
         bench.connect(description(first), 0)
         bench.submit("job", specification(step()), 0)
         bench.starts(10)
-        val next = SchedulerBench(StoredJobs.decode(bench.stored.values.toList()), startedAt = 1_000)
+        val next = bench.successor(startedAt = 1_000)
         val reborn = incarnation("first", life = 2)
         next.connect(description(reborn), 1_100)
         expectThat(next.starts(1_110).map { it.host to it.order.run.number }).isEqualTo(listOf(reborn to 2))
@@ -115,14 +96,8 @@
 
     @Test
     fun `a run that a new leader finds running is not started again`() {
-        bench.connect(description(first), 0)
-        bench.submit("job", specification(step()), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
-        val next = SchedulerBench(StoredJobs.decode(bench.stored.values.toList()), startedAt = 1_000)
+        val run = bench.startOn(description(first), step())
+        val next = bench.successor(startedAt = 1_000)
         next.scheduler.hosts.connected(description(first), moment(1_100))
         next.report(first, 1_100, running = listOf(running(run)))
         expectThat(next.effects(1_110)).filterIsInstance<SchedulerEffect.Start>().isEmpty()
@@ -130,13 +105,7 @@
 
     @Test
     fun `a run whose order is lost is ordered again under its number`() {
-        bench.connect(description(first), 0)
-        bench.submit("job", specification(step()), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startOn(description(first), step())
         bench.scheduler.hosts.disconnected(first)
         bench.connect(description(first), 300)
         expectThat(bench.starts(310).map { it.order.run }).isEqualTo(listOf(run))
@@ -145,13 +114,7 @@
     @Test
     fun `a superseded start is given up only when a later look shows no end of it`() {
         // Guards against a second run of a task whose first has ended and whose end is still on its way.
-        bench.connect(description(first), 0)
-        bench.submit("job", specification(step()), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startOn(description(first), step())
         bench.scheduler.hosts.startAnswered(
             StartResult(first, run, StartOutcome.SUPERSEDED, lookNumber = 2),
             moment(50),
@@ -160,10 +123,7 @@
         expectThat(bench.starts(110)).isEmpty()
         bench.report(first, 200, ends = listOf(RunEnd(1, run, RunOutcome.DONE, "")))
         bench.effects(210)
-        expectThat(
-            bench.scheduler.state.book
-                .shownStatus(JobId("job")),
-        ).isEqualTo(JobStatus.COMPLETED)
+        expectThat(bench.shownStatus("job")).isEqualTo(JobStatus.COMPLETED)
     }
 
     @Test
@@ -177,10 +137,7 @@
         expectThat(two.host).isNotEqualTo(one.host)
         bench.report(two.host, 200, ends = listOf(RunEnd(1, two.order.run, RunOutcome.FAILED, "")))
         expectThat(bench.starts(210)).isEmpty()
-        expectThat(
-            bench.scheduler.state.book
-                .shownStatus(JobId("job")),
-        ).isEqualTo(JobStatus.FAILED)
+        expectThat(bench.shownStatus("job")).isEqualTo(JobStatus.FAILED)
     }
 
     @Test
@@ -188,11 +145,7 @@
         bench.connect(description(first), 0)
         bench.submit("job", specification(step()), 0)
         for (number in 1..3) {
-            val run =
-                bench
-                    .starts(number * 100L)
-                    .single()
-                    .order.run
+            val run = bench.startedRun(number * 100L)
             val end = RunEnd(number.toLong(), run, RunOutcome.LAPSED, "")
             bench.report(first, number * 100L + 50, ends = listOf(end))
         }
@@ -204,11 +157,7 @@
         val small = description(first, capacity = step().demand)
         bench.connect(small, 0)
         bench.submit("job", specification(step()), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startedRun(10)
         bench.scheduler.callers.cancel(2, JobId("job"), moment(20))
         expectThat(bench.effects(30)).filterIsInstance<SchedulerEffect.Stop>().hasSize(1)
         bench.submit("next", specification(step()), 30)
@@ -253,11 +202,7 @@
     fun `a standing task is restarted however it ends`() {
         bench.connect(description(first), 0)
         bench.submit("watch", specification(step().copy(lifetime = StepLifetime.STANDING)), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startedRun(10)
         bench.report(first, 100, ends = listOf(RunEnd(1, run, RunOutcome.DONE, "")))
         expectThat(bench.starts(110).map { it.order.run.number }).isEqualTo(listOf(2))
     }
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/LoadDecisionsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/LoadDecisionsTest.kt
@@ -16,13 +16,7 @@
     private val first = incarnation("first")
     private val second = incarnation("second")
     private val bench = SchedulerBench()
-    private val filling =
-        step().copy(sharing = StepSharing(image = "filler", usesSpareProcessor = true), estimatedMillis = 2_000)
-    private val serving =
-        step(milliCores = 4_000).copy(
-            lifetime = StepLifetime.STANDING,
-            sharing = StepSharing(image = "service", latencyTargetMillis = 20),
-        )
+    private val filling = fillingStep().copy(estimatedMillis = 2_000)
 
     @Test
     fun `a job that can't meet its objective any more does not make the next one late`() {
@@ -45,7 +39,7 @@
     @Test
     fun `tasks that use spare time are slowed while a serving task is over its bound, and sped up after`() {
         bench.connect(description(first), 0)
-        bench.submit("service", specification(serving), 0)
+        bench.submit("service", specification(servingStep()), 0)
         bench.submit("batch", specification(filling), 0)
         val runs = bench.starts(10).associate { it.order.run.task.job.value to it.order.run }
         var millis = 100L
@@ -58,13 +52,7 @@
 
     @Test
     fun `no more tasks that use spare time join a serving task at its bound`() {
-        bench.connect(description(first), 0)
-        bench.submit("service", specification(serving), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startOn(description(first), servingStep(), job = "service")
         bench.report(first, 400, running = listOf(running(run, measurement = 19)))
         bench.submit("batch", specification(filling), 400)
         expectThat(bench.starts(410)).isEmpty()
@@ -75,13 +63,7 @@
     @Test
     fun `a job that nobody has room for still goes on, with one task at a time`() {
         // Guards against a job that never runs because serving tasks are always at their bound.
-        bench.connect(description(first), 0)
-        bench.submit("service", specification(serving), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startOn(description(first), servingStep(), job = "service")
         bench.submit("batch", specification(filling.copy(taskCount = 4)), 400)
         val started = ArrayList<Long>()
         for (millis in 400L..4_000L step 400L) {
@@ -94,14 +76,10 @@
 
     @Test
     fun `spare time is what its users get, not what nobody reserved`() {
-        val reserved = serving.copy(demand = Resources(milliCores = 16_000))
+        val reserved = servingStep(milliCores = 16_000)
         bench.connect(description(first), 0)
         bench.submit("service", specification(reserved), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startedRun(10)
         bench.report(first, 400, running = listOf(running(run, measurement = 3)))
         bench.submit("batch", specification(filling.copy(taskCount = 4)), 400)
         expectThat(bench.starts(410).size).isGreaterThan(1)
@@ -124,13 +102,7 @@
 
     @Test
     fun `a run that stands still goes on elsewhere`() {
-        bench.connect(description(first), 0)
-        bench.submit("job", specification(step()), 0)
-        val run =
-            bench
-                .starts(10)
-                .single()
-                .order.run
+        val run = bench.startOn(description(first), step())
         var stops = emptyList<SchedulerEffect>()
         for (millis in 400L..2_400L step 400L) {
             bench.report(first, millis, running = listOf(running(run, measurement = 0)))
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/SharedHostsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/SharedHostsTest.kt
@@ -17,33 +17,33 @@
     fun `tasks that use less than they ask for do not make their host look full`() {
         // Guards against work that waits beside idle cores, since its kind asks for half as much again as it uses.
         bench.connect(description(first), 0)
-        bench.submit("batch", specification(filling().copy(taskCount = 4)), 0)
+        bench.submit("batch", specification(fillingStep().copy(taskCount = 4)), 0)
         val runs = bench.starts(10).map { it.order.run }
         for (millis in 400L..4_000L step 400L) {
             bench.report(first, millis, running = runs.map { running(it, measurement = 670) })
             bench.effects(millis + 10)
         }
-        bench.submit("more", specification(filling().copy(taskCount = 4)), 4_000)
+        bench.submit("more", specification(fillingStep().copy(taskCount = 4)), 4_000)
         expectThat(bench.starts(4_020).size).isEqualTo(4)
     }
 
     @Test
     fun `tasks that all get too little make their host look full`() {
         bench.connect(description(first), 0)
-        bench.submit("batch", specification(filling().copy(taskCount = 8)), 0)
+        bench.submit("batch", specification(fillingStep().copy(taskCount = 8)), 0)
         val runs = bench.starts(10).map { it.order.run }
         for (millis in 400L..4_000L step 400L) {
             bench.report(first, millis, running = runs.map { running(it, measurement = 300) })
             bench.effects(millis + 10)
         }
-        bench.submit("more", specification(filling()), 4_000)
+        bench.submit("more", specification(fillingStep()), 4_000)
         expectThat(bench.starts(4_020)).isEmpty()
     }
 
     @Test
     fun `a slowed run whose work is saved moves to a host on which it disturbs nobody`() {
         // Guards against jobs that wait for a run at a twentieth of its speed while other hosts are idle.
-        val runs = startBeside(filling().copy(isCheckpointing = true))
+        val runs = startBeside(fillingStep().copy(isCheckpointing = true))
         bench.connect(description(second), 100)
         val stops = observe(runs, latency = 60) { bench.report(second, it) }
         expectThat(stops.map { it.run to it.reason }.distinct())
@@ -58,13 +58,13 @@
 
     @Test
     fun `a slowed run stays where it is without a better host`() {
-        val runs = startBeside(filling().copy(isCheckpointing = true))
+        val runs = startBeside(fillingStep().copy(isCheckpointing = true))
         expectThat(observe(runs, latency = 60) {}).isEmpty()
     }
 
     @Test
     fun `a slowed run that would have to begin anew stays where it is`() {
-        val runs = startBeside(filling())
+        val runs = startBeside(fillingStep())
         bench.connect(description(second), 100)
         expectThat(observe(runs, latency = 60) { bench.report(second, it) }).isEmpty()
     }
@@ -72,7 +72,7 @@
     @Test
     fun `a slowed member of a gang stays where it is`() {
         // Guards against ending the work of a whole gang to speed up one of its members.
-        val member = filling().copy(isCheckpointing = true, coordination = StepCoordination.GANG)
+        val member = fillingStep().copy(isCheckpointing = true, coordination = StepCoordination.GANG)
         val runs = startBeside(member)
         bench.connect(description(second), 100)
         expectThat(observe(runs, latency = 60) { bench.report(second, it) }).isEmpty()
@@ -81,8 +81,8 @@
     @Test
     fun `a new leader speeds up the runs that the one before has slowed`() {
         // Guards against runs that stay slowed for ever because the new leader takes them to be at full speed.
-        val runs = startBeside(filling())
-        val next = SchedulerBench(StoredJobs.decode(bench.stored.values.toList()), startedAt = 1_000)
+        val runs = startBeside(fillingStep())
+        val next = bench.successor(startedAt = 1_000)
         val slowed = running(runs.getValue("batch")).copy(workPercent = 5)
         val rows = listOf(running(runs.getValue("service"), 4), slowed)
         next.scheduler.hosts.connected(description(first), moment(1_100))
@@ -96,9 +96,9 @@
     fun `a task may join a service at its bound if it disturbs only another one that has room`() {
         // Guards against judging a host by its worst service and its worst pair when the two have nothing in common.
         bench.connect(description(first), 0)
-        bench.submit("busy", specification(serving("busy")), 0)
-        bench.submit("sensitive", specification(serving("sensitive")), 0)
-        bench.submit("batch", specification(filling()), 0)
+        bench.submit("busy", specification(servingStep("busy")), 0)
+        bench.submit("sensitive", specification(servingStep("sensitive")), 0)
+        bench.submit("batch", specification(fillingStep()), 0)
         val runs = started(10)
         for (millis in 400L..20_000L step 400L) {
             val isAtWork = millis % 800L == 0L
@@ -118,22 +118,13 @@
                 running(runs.getValue("batch"), 2_000),
             )
         bench.report(first, 20_400, rows)
-        bench.submit("more", specification(filling()), 20_400)
+        bench.submit("more", specification(fillingStep()), 20_400)
         expectThat(started(20_410).keys).isEqualTo(setOf("more"))
     }
 
-    private fun filling(image: String = "filler") =
-        step().copy(sharing = StepSharing(image, usesSpareProcessor = true), estimatedMillis = 20_000)
-
-    private fun serving(image: String = "service") =
-        step(milliCores = 4_000).copy(
-            lifetime = StepLifetime.STANDING,
-            sharing = StepSharing(image, latencyTargetMillis = 20),
-        )
-
     private fun startBeside(filling: StepSpecification): Map<String, TaskRun> {
         bench.connect(description(first), 0)
-        bench.submit("service", specification(serving()), 0)
+        bench.submit("service", specification(servingStep()), 0)
         bench.submit("batch", specification(filling), 0)
         return started(10)
     }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/RemoteLine.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/RemoteLine.kt
@@ -39,27 +39,3 @@
         replies.forEach { it(null) }
     }
 }
-
-/** The way to the leader in this process. */
-internal class LocalLine(
-    private val leader: Leader,
-) : SchedulerLine {
-    private val open = LinkedHashSet<(JobReply?) -> Unit>()
-
-    override fun ask(
-        question: JobQuestion,
-        reply: (JobReply?) -> Unit,
-    ): Boolean {
-        if (!leader.isActive) return false
-        open += reply
-        leader.ask(question) { if (open.remove(reply)) reply(it) }
-        return true
-    }
-
-    /** The leadership has ended. */
-    fun lost() {
-        val replies = open.toList()
-        open.clear()
-        replies.forEach { it(null) }
-    }
-}
--- /dev/null
+++ b/services/src/main/kotlin/org/greengagepass/services/process/HttpExchange.kt
@@ -0,0 +1,34 @@
+/*
+ * One exchange over the JDK's HTTP client, with what may have happened if there is no answer. Only a connection that
+ * was never established proves that the call had no effect.
+ */
+package org.greengagepass.services.process
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.future.await
+import java.io.IOException
+import java.net.ConnectException
+import java.net.http.HttpClient
+import java.net.http.HttpConnectTimeoutException
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.net.http.HttpTimeoutException
+
+/** Sends [request] and reads the answer by [handler]. */
+public suspend fun <T> HttpClient.exchange(
+    request: HttpRequest,
+    handler: HttpResponse.BodyHandler<T>,
+): Either<NoHttpAnswer, HttpResponse<T>> =
+    try {
+        sendAsync(request, handler).await().right()
+    } catch (cause: ConnectException) {
+        NoHttpAnswer.NotSent("not connected: ${cause.message}").left()
+    } catch (cause: HttpConnectTimeoutException) {
+        NoHttpAnswer.NotSent("not connected in time: ${cause.message}").left()
+    } catch (cause: HttpTimeoutException) {
+        NoHttpAnswer.Late("no answer in time: ${cause.message}").left()
+    } catch (cause: IOException) {
+        NoHttpAnswer.Broken("${cause.javaClass.simpleName}: ${cause.message}").left()
+    }
--- a/services/src/main/kotlin/org/greengagepass/services/process/HttpUpstreamService.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/HttpUpstreamService.kt
@@ -5,19 +5,14 @@
  */
 package org.greengagepass.services.process
 
-import kotlinx.coroutines.future.await
 import org.greengagepass.core.ResultCode
 import org.greengagepass.core.request.Answer
 import org.greengagepass.core.request.RequestOutcome
-import java.io.IOException
-import java.net.ConnectException
 import java.net.URI
 import java.net.URLEncoder
 import java.net.http.HttpClient
-import java.net.http.HttpConnectTimeoutException
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
-import java.net.http.HttpTimeoutException
 import java.time.Duration
 
 private const val FIRST_ERROR_STATUS = 500
@@ -50,17 +45,16 @@
         request: UpstreamRequest,
         timeoutMillis: Long,
     ): RequestOutcome =
-        try {
-            outcome(client.sendAsync(httpRequest(address, request, timeoutMillis), bodyHandler()).await())
-        } catch (cause: ConnectException) {
-            RequestOutcome.NotRun(ResultCode.NO_UPSTREAM, "not connected: ${cause.message}")
-        } catch (cause: HttpConnectTimeoutException) {
-            RequestOutcome.NotRun(ResultCode.NO_UPSTREAM, "not connected in time: ${cause.message}")
-        } catch (cause: HttpTimeoutException) {
-            RequestOutcome.Unknown(ResultCode.DEADLINE_PASSED, "no answer in time: ${cause.message}")
-        } catch (cause: IOException) {
-            RequestOutcome.Unknown(ResultCode.AGENT_LOST, "broken answer: ${cause.message}")
-        }
+        client.exchange(httpRequest(address, request, timeoutMillis), bodyHandler()).fold(
+            { failure ->
+                when (failure) {
+                    is NoHttpAnswer.NotSent -> RequestOutcome.NotRun(ResultCode.NO_UPSTREAM, failure.detail)
+                    is NoHttpAnswer.Late -> RequestOutcome.Unknown(ResultCode.DEADLINE_PASSED, failure.detail)
+                    is NoHttpAnswer.Broken -> RequestOutcome.Unknown(ResultCode.AGENT_LOST, failure.detail)
+                }
+            },
+            ::outcome,
+        )
 
     private fun httpRequest(
         address: String,
--- a/services/src/main/kotlin/org/greengagepass/services/process/JsonHttp.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/JsonHttp.kt
@@ -8,16 +8,12 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
-import kotlinx.coroutines.future.await
 import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.json.Json
-import java.io.IOException
-import java.net.ConnectException
 import java.net.URI
 import java.net.http.HttpClient
-import java.net.http.HttpConnectTimeoutException
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
@@ -62,15 +58,15 @@
             .timeout(Duration.ofMillis(timeoutMillis))
 
     private suspend fun exchange(request: HttpRequest): Either<PlatformError, String> =
-        try {
-            val response = client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).await()
-            if (response.statusCode() == STATUS_OK) response.body().right() else refusal(response).left()
-        } catch (cause: ConnectException) {
-            PlatformError.Refused("not connected: ${cause.message}", RefusalReason.UNAVAILABLE).left()
-        } catch (cause: HttpConnectTimeoutException) {
-            PlatformError.Refused("not connected in time: ${cause.message}", RefusalReason.UNAVAILABLE).left()
-        } catch (cause: IOException) {
-            PlatformError.NoAnswer("${cause.javaClass.simpleName}: ${cause.message}").left()
+        client
+            .exchange(request, HttpResponse.BodyHandlers.ofString())
+            .mapLeft(::withoutAnswer)
+            .flatMap { if (it.statusCode() == STATUS_OK) it.body().right() else refusal(it).left() }
+
+    private fun withoutAnswer(failure: NoHttpAnswer): PlatformError =
+        when (failure) {
+            is NoHttpAnswer.NotSent -> PlatformError.Refused(failure.detail, RefusalReason.UNAVAILABLE)
+            is NoHttpAnswer.Late, is NoHttpAnswer.Broken -> PlatformError.NoAnswer(failure.detail)
         }
 
     private fun refusal(response: HttpResponse<String>): PlatformError =
