Give each port of a test deployment once

Cause: ports were drawn by binding port 0 and closing it, so that the system could give one port to two processes of a deployment, and the second never listened.

Change: ports that were given are remembered.

--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TestDeployment.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/TestDeployment.kt
@@ -4,7 +4,6 @@
  */
 package org.greengagepass.endtoend
 
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
@@ -36,16 +35,16 @@
 ) : AutoCloseable {
     private val logs: Path = Files.createTempDirectory("greengagepass")
     private val processes = LinkedHashMap<String, Process>()
-    private val logPort = freePort()
+    private val logPort = FreePorts.next()
     val logUrl = "http://127.0.0.1:$logPort"
     val hosts =
         (1..hosts).map { index ->
             TestHost(
                 name = "w$index",
                 failureDomain = DOMAINS[(index - 1) % DOMAINS.size],
-                worker = "http://127.0.0.1:${freePort()}",
-                listen = "127.0.0.1:${freePort()}",
-                executor = "http://127.0.0.1:${freePort()}",
+                worker = "http://127.0.0.1:${FreePorts.next()}",
+                listen = "127.0.0.1:${FreePorts.next()}",
+                executor = "http://127.0.0.1:${FreePorts.next()}",
             )
         }
     val entries =
@@ -53,9 +52,9 @@
             TestEntry(
                 name = "e$index",
                 failureDomain = DOMAINS[(index - 1) % DOMAINS.size],
-                url = "http://127.0.0.1:${freePort()}",
-                agentAddress = "127.0.0.1:${freePort()}",
-                peerAddress = "127.0.0.1:${freePort()}",
+                url = "http://127.0.0.1:${FreePorts.next()}",
+                agentAddress = "127.0.0.1:${FreePorts.next()}",
+                peerAddress = "127.0.0.1:${FreePorts.next()}",
             )
         }
     private var starts = 0
@@ -194,8 +193,6 @@
         private const val EXIT_SECONDS = 40L
         private const val LOG_TAIL_CHARACTERS = 1_500
 
-        private fun freePort(): Int = ServerSocket(0).use { it.localPort }
-
         private fun portOf(address: String): String = address.substringAfterLast(':')
     }
 }
