Follow the successor of a leader that lost the store, and keep parts running after errors

Change: a connection tells the process who leads, not the store alone; a leader without the store asks its peers and ends as soon as it knows of a later epoch; without a confirmation it concludes nothing from the times of leases. A stopping leader leads until it is replaced, and its listener stays open as long. Claims that the store refuses are repeated every 300 ms instead of every 40 to 100 ms.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/ExecutorPoller.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/ExecutorPoller.kt
@@ -56,7 +56,7 @@
             val snapshot = executor.poll(lease.callContext(), lease.acknowledgedEnds, waitMillis).getOrNull()
             if (!isCurrent()) return
             while (replies.tryReceive().isSuccess) Unit
-            snapshot?.let { sendReport(reportOf(lease, number, it)) }
+            snapshot?.takeIf { isOf(lease.incarnation, it) }?.let { sendReport(reportOf(lease, number, it)) }
             // The executor answers at once while it has unacknowledged ends, so wait for the acknowledgement first.
             val hasUnacknowledgedEnds = (snapshot?.ends?.lastOrNull()?.number ?: 0) > lease.acknowledgedEnds
             awaitReplies(
@@ -68,6 +68,12 @@
         }
     }
 
+    /** False if a later incarnation under the same name has answered, whose heartbeat has not arrived yet. */
+    private fun isOf(
+        incarnation: HostIncarnation,
+        snapshot: ExecutorSnapshot,
+    ): Boolean = (snapshot.startedAtEpochMillis ?: 0) <= incarnation.startedAtEpochMillis
+
     private suspend fun awaitReplies(
         lease: GrantedLease,
         snapshot: ExecutorSnapshot?,
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
@@ -22,6 +22,7 @@
 import org.greengagepass.protocol.connection.SchedulerDialer
 import org.greengagepass.services.process.LeaderDirectory
 import org.greengagepass.services.process.platformHttpClient
+import org.greengagepass.services.process.runRestarting
 import java.util.concurrent.Executors
 
 /** Agent process of one host, configured by [settings]. */
@@ -56,11 +57,20 @@
         Runtime.getRuntime().addShutdownHook(Thread { logger.info("agent {} is stopping", settings.processName) })
         logger.info("agent {} is starting", settings.processName)
         announcements.start()
-        scope.launch { directory.follow() }
-        scope.launch { dialer.run() }
+        launchRestarting("leader directory") { directory.follow() }
+        launchRestarting("connection to the leader") { dialer.run() }
         CompletableDeferred<Unit>().await()
     }
 
+    private fun launchRestarting(
+        name: String,
+        work: suspend () -> Unit,
+    ) {
+        scope.launch {
+            runRestarting({ logger.error("unexpected error in {}, which is started again", name, it) }, work)
+        }
+    }
+
     override fun onAlive(description: HostDescription) {
         scope.launch { supervisor.onAlive(description) }
     }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -68,7 +68,6 @@
                 announced.isDraining,
             )
         }
-        if (isNewIncarnation) connection?.send(ToScheduler.HostGone(previous.incarnation))
         connection?.send(ToScheduler.HostDescribed(announced))
         if (isNewIncarnation) connection?.let { follow(highestEpoch) }
     }
@@ -88,6 +87,7 @@
 
     override fun onConnected(
         epoch: Epoch,
+        address: String,
         connection: FramedConnection<ToScheduler, FromScheduler>,
     ) {
         if (epoch < highestEpoch) {
@@ -95,8 +95,9 @@
             connection.close()
             return
         }
-        logger.info("following the leader of epoch {} at {}", epoch.value, connection.remoteAddress)
+        logger.info("following the leader of epoch {} at {}", epoch.value, address)
         highestEpoch = epoch
+        directory.connected(epoch, address)
         this.connection = connection
         description?.let { connection.send(ToScheduler.HostDescribed(it)) }
         follow(epoch)
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/StalledRunStopper.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/StalledRunStopper.kt
@@ -12,7 +12,7 @@
     /** Stops runs that have made no progress for too long. */
     fun stop(moment: Moment) {
         state.hosts.all().filter { it.isConnected }.forEach { host ->
-            host.runs.values.filter { isStalled(it, moment) }.forEach { placed ->
+            host.runs.values.filter { isStalled(host, it, moment) }.forEach { placed ->
                 transitions.stop(host, placed, StopReason.STALLED, moment)
                 placed.task.failedOn = host.incarnation
                 val pauseMillis = state.reliability.failed(host.incarnation, placed.task.key, failedBeforeOn = null)
@@ -21,11 +21,13 @@
         }
     }
 
+    /** A host that does not report shows nothing about its runs, so only the time over which it reports counts. */
     private fun isStalled(
+        host: Host,
         placed: PlacedRun,
         moment: Moment,
     ): Boolean {
-        if (!isIdle(placed)) {
+        if (!host.isResponsive(moment.now) || !isIdle(placed)) {
             placed.stalledSince = null
             return false
         }
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
@@ -94,6 +94,30 @@
         expectThat(next.starts(1_110).map { it.host to it.command.run.number }).isEqualTo(listOf(restarted to 2))
     }
 
+    @Test
+    fun `a start that an executor may have received after its restart is not repeated elsewhere`() {
+        // Guards against two runs of a task: commands are addressed by the executor's name, which it keeps.
+        val run = harness.startOn(description(first), step())
+        harness.connect(description(second), 20)
+        val restarted = first.copy(startedAtEpochMillis = first.startedAtEpochMillis + 1)
+        harness.scheduler.hosts.connected(description(restarted), moment(100))
+        expectThat(harness.starts(110)).isEmpty()
+        harness.report(restarted, 200, running = listOf(running(run)))
+        expectThat(harness.effects(210)).filterIsInstance<SchedulerEffect.Stop>().isEmpty()
+        harness.report(restarted, 900, ends = listOf(RunEnd(1, run, RunOutcome.DONE, "")))
+        harness.effects(910)
+        expectThat(harness.visibleStatus("job")).isEqualTo(JobStatus.COMPLETED)
+    }
+
+    @Test
+    fun `a start that did not reach an executor before its restart is sent again under the same number`() {
+        val run = harness.startOn(description(first), step())
+        val restarted = first.copy(startedAtEpochMillis = first.startedAtEpochMillis + 1)
+        harness.connect(description(restarted), 100)
+        val again = harness.starts(110).single()
+        expectThat(again.host to again.command.run).isEqualTo(restarted to run)
+    }
+
     @Test
     fun `a run that a new leader finds running is not started again`() {
         val run = harness.startOn(description(first), step())
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/LoadDecisionsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/LoadDecisionsTest.kt
@@ -116,6 +116,20 @@
         expectThat(again.command.checkpoint).isEqualTo("saved")
     }
 
+    @Test
+    fun `a run is not taken for stalled while its host does not report`() {
+        // Guards against stopping work on a host that is only slow to report, after one measurement of a run that began.
+        val run = harness.startOn(description(first), step())
+        harness.report(first, 400, running = listOf(running(run, measurement = 0)))
+        val stops = ArrayList<SchedulerEffect.Stop>()
+        for (millis in 410L..4_000L step 40L) {
+            stops += harness.effects(millis).filterIsInstance<SchedulerEffect.Stop>()
+        }
+        harness.report(first, 4_010, running = listOf(running(run, measurement = 0)))
+        stops += harness.effects(4_020).filterIsInstance<SchedulerEffect.Stop>()
+        expectThat(stops).isEmpty()
+    }
+
     @Test
     fun `a host on which tasks fail is paused`() {
         harness.connect(description(first), 0)
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.logging.log4j.LogManager
+import org.greengagepass.core.Epoch
 import org.greengagepass.core.process.jobs.Moment
 import org.greengagepass.entry.process.MonotonicClock
 import org.greengagepass.entry.process.TcpListener
@@ -34,6 +35,7 @@
 import org.greengagepass.protocol.connection.ToScheduler
 import org.greengagepass.services.process.LeaderDirectory
 import org.greengagepass.services.process.platformHttpClient
+import org.greengagepass.services.process.runRestarting
 
 /** Runs an entry with [settings]. */
 public class JobEntryProcess(
@@ -49,7 +51,14 @@
     private val metrics = JobEntryMetrics()
     private val configuration = ConfigurationFollower(LogConfigurationFeed(client), ::moment)
     private val context =
-        LeaderContext(scope, store, ::moment, { configuration.forScheduler() }, DecisionLog(metrics.registry))
+        LeaderContext(
+            scope = scope,
+            store = store,
+            clock = ::moment,
+            configuration = { configuration.forScheduler() },
+            decisions = DecisionLog(metrics.registry),
+            newestEpoch = { directory.newest?.epoch ?: Epoch.NONE },
+        )
     private val candidate = LeadershipCandidate(identity, settings.scheduler, directory, context)
     private val gateway = CallerGateway(decisions) { moment().now }
     private val view = JobEntryView(configuration, gateway, metrics)
@@ -78,10 +87,19 @@
         logger.info("entry {} starts at {}", identity.name, identity.address)
         server.start()
         listener.start(scope)
-        scope.launch { configuration.follow() }
-        scope.launch { directory.follow() }
-        scope.launch { dialer.run() }
-        scope.launch { leadWhenNeeded() }
+        launchRestarting("configuration") { configuration.follow() }
+        launchRestarting("leader directory") { directory.follow() }
+        launchRestarting("connection to the leader") { dialer.run() }
+        launchRestarting("leadership") { leadWhenNeeded() }
+    }
+
+    private fun launchRestarting(
+        name: String,
+        work: suspend () -> Unit,
+    ) {
+        scope.launch {
+            runRestarting({ logger.error("unexpected error in {}, which is started again", name, it) }, work)
+        }
     }
 
     private suspend fun leadWhenNeeded() {
@@ -98,11 +116,14 @@
         directory.update(newLeader.leadership)
         gateway.leaderClient.value = local
         scope.launch { announce(newLeader) }
-        newLeader.run()
-        leader = null
-        gateway.leaderClient.compareAndSet(local, null)
-        local.onLeadershipEnded()
-        logger.info("the leadership of this entry in epoch {} has ended", newLeader.leadership.epoch.value)
+        try {
+            newLeader.run()
+        } finally {
+            leader = null
+            gateway.leaderClient.compareAndSet(local, null)
+            local.onLeadershipEnded()
+            logger.info("the leadership of this entry in epoch {} has ended", newLeader.leadership.epoch.value)
+        }
     }
 
     private suspend fun announce(newLeader: Leader) {
@@ -133,11 +154,10 @@
         val deadline = moment().now.plusMillis(settings.shutdownMillis * STOP_PERCENT / PERCENT)
         view.shutdownDeadline = deadline
         val rotationEnds = moment().now.plusMillis(ROTATION_MILLIS)
-        listener.close()
+        leader?.handOver()
+        while (moment().now < deadline && (moment().now < rotationEnds || isNeeded())) delay(STOP_POLL_MILLIS)
         leader?.end()
-        while (moment().now < deadline && (moment().now < rotationEnds || server.requestsInProgress > 0)) {
-            delay(STOP_POLL_MILLIS)
-        }
+        listener.close()
         server.stop()
         scope.cancel()
         logger.info("entry {} has stopped", identity.name)
@@ -145,6 +165,9 @@
         LogManager.shutdown()
     }
 
+    /** True while requests are in progress and, since nothing starts without a leader, until another entry leads. */
+    private fun isNeeded() = server.requestsInProgress > 0 || leader?.isActive == true
+
     private fun moment() = Moment(MonotonicClock.SYSTEM.now(), System.currentTimeMillis())
 
     private companion object {
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.greengagepass.core.Epoch
 import org.greengagepass.core.process.jobs.JobConfiguration
 import org.greengagepass.core.process.jobs.JobReply
 import org.greengagepass.core.process.jobs.JobScheduler
@@ -31,6 +32,8 @@
     /** The configuration; null until one has been read and while a newer one may exist. */
     public val configuration: () -> JobConfiguration?,
     public val decisions: DecisionLog,
+    /** The highest epoch known to this process. */
+    public val newestEpoch: () -> Epoch,
 )
 
 /** Leads during [leadership]: [scheduler] decides, and [writer] stores its decisions. */
@@ -48,6 +51,7 @@
     private val ended = CompletableDeferred<Unit>()
     private var lastCall = 0L
     private var isWriting = false
+    private var isHandingOver = false
 
     /** True while the leadership lasts. */
     public val isActive: Boolean
@@ -60,14 +64,26 @@
             return context.clock().now.millisSince(since) < STORE_UNAVAILABLE_MILLIS
         }
 
-    /** Leads until another leadership has begun or [end] is called. */
+    private val isConfirmed: Boolean
+        get() = confirmation.isValid(context.clock())
+
+    /** Leads until another leadership has begun or [end] is called. An unexpected error ends the leadership too. */
     public suspend fun run() {
-        while (isActive) {
-            step()
-            withTimeoutOrNull(TICK_MILLIS) { signal.receive() }
-            delay(BATCHING_MILLIS)
+        try {
+            while (isActive) {
+                step()
+                withTimeoutOrNull(TICK_MILLIS) { signal.receive() }
+                delay(BATCHING_MILLIS)
+            }
+        } finally {
+            end()
+            sessions.closeAll()
         }
-        sessions.closeAll()
+    }
+
+    /** Asks the other entries to replace this leader, which leads on until one of them does. */
+    public fun handOver() {
+        isHandingOver = true
     }
 
     /** Ends the leadership. */
@@ -86,6 +102,10 @@
             reply(JobReply.NotRun(RETRY_MILLIS, "the state store is unavailable"))
             return
         }
+        if (request is JobRequest.Find && scheduler.state.jobs[request.id] == null && !isConfirmed) {
+            reply(JobReply.Uncertain("a later leader may know the job"))
+            return
+        }
         lastCall += 1
         pendingReplies[lastCall] = reply
         when (request) {
@@ -124,7 +144,7 @@
     ) {
         when (message) {
             is ToScheduler.Request -> execute(message.request) { session.send(FromScheduler.Reply(message.number, it)) }
-            is ToScheduler.Ping -> session.send(FromScheduler.Pong(isStoreAvailable))
+            is ToScheduler.Ping -> session.send(FromScheduler.Pong(isStoreAvailable && !isHandingOver))
             is ToScheduler.EntryHello -> Unit
             else -> {
                 messages.handle(session, message, confirmation.isValid(context.clock()))
@@ -134,10 +154,12 @@
     }
 
     private fun step() {
+        if (context.newestEpoch() > leadership.epoch) return end()
         val moment = context.clock()
         val configuration = context.configuration()
         configuration?.let { scheduler.configure(it) }
-        scheduler.tick(moment, mayStart = configuration != null && confirmation.isValid(moment))
+        // Without a confirmation another leader may have extended leases, so nothing can be concluded from their times.
+        if (confirmation.isValid(moment)) scheduler.tick(moment, mayStart = configuration != null)
         perform(scheduler.takeImmediate())
         if (isWriting) return
         val batch = scheduler.takeBatch()
@@ -156,9 +178,15 @@
         isWriting = true
         context.scope.launch {
             val records = batch?.change?.records ?: listOf(context.store.leadershipRecord(leadership))
-            if (writer.write(records)) batch?.let(::finish) else end()
-            isWriting = false
-            signal.trySend(Unit)
+            var isStored = false
+            try {
+                isStored = writer.write(records)
+                if (isStored) batch?.let(::finish)
+            } finally {
+                if (!isStored) end()
+                isWriting = false
+                signal.trySend(Unit)
+            }
         }
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeaderConnection.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeaderConnection.kt
@@ -24,6 +24,9 @@
     private var isStoreAvailable = true
     private var connectedEpoch = Epoch.NONE
 
+    private val localLeader: LocalLeaderClient?
+        get() = gateway.leaderClient.value as? LocalLeaderClient
+
     /** True while the leader is connected and its store is available. */
     val isLeaderAvailable: Boolean
         get() = remote != null && isStoreAvailable && !candidate.isSilent()
@@ -31,22 +34,29 @@
     override fun addresses(): List<String> =
         (listOfNotNull(directory.newest?.address) + seedAddresses).filter { it != identity.address }
 
+    /** A leader in this process that can't reach the store may have a successor, so its peers are asked. */
     override fun hello(): ToScheduler? =
         ToScheduler
             .EntryHello(PROTOCOL_VERSION, identity.name)
-            .takeIf { gateway.leaderClient.value !is LocalLeaderClient }
+            .takeIf { localLeader?.isStoreAvailable != true }
 
     override fun onConnected(
         epoch: Epoch,
+        address: String,
         connection: FramedConnection<ToScheduler, FromScheduler>,
     ) {
-        logger.info("connected to the leader of epoch {} at {}", epoch.value, connection.remoteAddress)
+        if (localLeader?.isSupersededBy(epoch) == false) {
+            connection.close()
+            return
+        }
+        logger.info("connected to the leader of epoch {} at {}", epoch.value, address)
+        directory.connected(epoch, address)
         val connected = RemoteLeaderClient(connection)
         remote = connected
         isStoreAvailable = true
         connectedEpoch = epoch
         candidate.onLeaderAlive()
-        if (gateway.leaderClient.value !is LocalLeaderClient) gateway.leaderClient.value = connected
+        gateway.leaderClient.value = connected
     }
 
     override fun onMessage(message: FromScheduler) {
@@ -67,11 +77,11 @@
     override fun isCurrent(): Boolean = connectedEpoch >= (directory.newest?.epoch ?: Epoch.NONE)
 
     override fun onDisconnected() {
+        val disconnected = remote ?: return
         logger.info("the connection to the leader is lost")
-        val disconnected = remote
         remote = null
         gateway.leaderClient.compareAndSet(disconnected, null)
-        disconnected?.onDisconnected()
+        disconnected.onDisconnected()
     }
 
     override fun onNotLeading(address: String) {
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
@@ -37,6 +37,7 @@
     private var lastAliveAt: Timestamp = context.clock().now
     private var excludedEpoch: Epoch? = null
     private var epochFloor = Epoch.NONE
+    private var readableAgainAt: Timestamp? = null
 
     /** The leader has replied, and its store is available. */
     public fun onLeaderAlive() {
@@ -65,7 +66,7 @@
         val known = directory.newest
         val isGone = known == null || known.address == identity.address || known.epoch == excludedEpoch
         return when {
-            !directory.hasRead -> null
+            !directory.hasRead || isWaitingForStore() -> null
             isGone -> {
                 delay(random.nextLong(CLAIM_SPREAD_MILLIS))
                 if (directory.newest == known) claim(known) else null
@@ -75,6 +76,9 @@
         }
     }
 
+    /** Reads the store less often while it refuses this entry, which may be for many seconds. */
+    private fun isWaitingForStore(): Boolean = readableAgainAt?.let { context.clock().now < it } ?: false
+
     private suspend fun hasStoppedWriting(): Boolean {
         val end = context.store.end().getOrNull() ?: return false
         return context.store.hasAppendsAfter(end, OBSERVATION_MILLIS).fold({ false }, { hasAppends -> !hasAppends })
@@ -83,10 +87,14 @@
     private suspend fun claim(known: Leadership?): Leader? =
         context.store.read().fold(
             { failure ->
-                logger.info("the state store can't be read: {}", failure.detail)
+                if (readableAgainAt == null) logger.warn("the state store can't be read: {}", failure.detail)
+                readableAgainAt = context.clock().now.plusMillis(UNREADABLE_PAUSE_MILLIS)
                 null
             },
-            { snapshot -> if (mayClaim(snapshot.leadership, known)) append(snapshot) else null },
+            { snapshot ->
+                readableAgainAt = null
+                if (mayClaim(snapshot.leadership, known)) append(snapshot) else null
+            },
         )
 
     /** False if another entry has begun to lead after [known]. */
@@ -132,6 +140,9 @@
         /** Longest random delay; without one, entries that lose their leader together would claim together. */
         private const val CLAIM_SPREAD_MILLIS = 60L
 
+        /** Pause after a refused read of the state. */
+        private const val UNREADABLE_PAUSE_MILLIS = 300L
+
         /** Nearly two pings without a reply. */
         private const val SILENCE_MILLIS = 700L
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LocalLeaderClient.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LocalLeaderClient.kt
@@ -3,6 +3,7 @@
  */
 package org.greengagepass.entry.process.jobs
 
+import org.greengagepass.core.Epoch
 import org.greengagepass.core.process.jobs.JobReply
 import org.greengagepass.protocol.connection.JobRequest
 
@@ -12,6 +13,13 @@
 ) : LeaderClient {
     private val pending = LinkedHashSet<(JobReply?) -> Unit>()
 
+    /** False while the leader can't write to the store. */
+    val isStoreAvailable: Boolean
+        get() = leader.isStoreAvailable
+
+    /** True if a leader of [epoch] replaces this one. */
+    fun isSupersededBy(epoch: Epoch): Boolean = epoch > leader.leadership.epoch
+
     override fun execute(
         request: JobRequest,
         reply: (JobReply?) -> Unit,
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/FakeStateStore.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/FakeStateStore.kt
@@ -22,10 +22,15 @@
     var leadership: Leadership? = null
     var failures = ArrayDeque<StoreFailure>()
     var hasNewAppends = false
+    var isReadable = true
+    var reads = 0
     private var highestEpoch = Epoch.NONE
 
-    override suspend fun read(): Either<StoreFailure, StateSnapshot> =
-        StateSnapshot(records.filter { it.key != KEY }, leadership, records.size.toLong()).right()
+    override suspend fun read(): Either<StoreFailure, StateSnapshot> {
+        reads += 1
+        if (!isReadable) return StoreFailure.Refused("status 429").left()
+        return StateSnapshot(records.filter { it.key != KEY }, leadership, records.size.toLong()).right()
+    }
 
     override suspend fun append(
         identity: AppendIdentity,
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidateTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidateTest.kt
@@ -17,6 +17,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
@@ -33,6 +34,7 @@
             clock = { Moment(Timestamp(now), now) },
             configuration = { null },
             decisions = DecisionLog(SimpleMeterRegistry()),
+            newestEpoch = { Epoch.NONE },
         )
 
     /** A directory that has read the store once; the fake store's wait for a new announcement takes simulated time. */
@@ -89,6 +91,22 @@
             expectThat(candidate.tryLead()).isNotNull()
         }
 
+    @Test
+    fun `a store that refuses this entry is read three times a second at most`() =
+        runTest {
+            // Guards against a read of all jobs every 40 ms by each entry that the store turns away.
+            val candidate = candidate(null)
+            store.isReadable = false
+            repeat(READ_TRIES) {
+                expectThat(candidate.tryLead()).isNull()
+                now += 40
+            }
+            expectThat(store.reads).isLessThan(READ_TRIES * 40 / 300 + 2)
+            store.isReadable = true
+            now += 300
+            expectThat(candidate.tryLead()).isNotNull()
+        }
+
     @Test
     fun `a claim fails if another entry has claimed the leadership first`() =
         runTest {
@@ -120,6 +138,7 @@
 
     private companion object {
         private const val FIRST_READ_MILLIS = 10L
+        private const val READ_TRIES = 50
         private val SETTINGS = SchedulerSettings(leaseMillis = 5_000, leadershipMillis = 3_000, retentionMillis = 1_000)
     }
 }
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
@@ -19,9 +19,10 @@
     /** Returns the first message of a new connection, or null if no connection is needed yet. */
     public fun hello(): ToScheduler?
 
-    /** Called when a connection to the leader of [epoch] is established. */
+    /** Called when a connection to the leader of [epoch], which listens at [address], is established. */
     public fun onConnected(
         epoch: Epoch,
+        address: String,
         connection: FramedConnection<ToScheduler, FromScheduler>,
     )
 
@@ -89,7 +90,7 @@
     ): Boolean =
         when (val first = receiveNext(connection)) {
             is FromScheduler.Welcome -> {
-                listener.onConnected(first.epoch, connection)
+                listener.onConnected(first.epoch, address, connection)
                 true
             }
             is FromScheduler.NotLeading -> {
--- a/protocol/src/test/kotlin/org/greengagepass/protocol/connection/SchedulerDialerTest.kt
+++ b/protocol/src/test/kotlin/org/greengagepass/protocol/connection/SchedulerDialerTest.kt
@@ -129,6 +129,7 @@
 
         override fun onConnected(
             epoch: Epoch,
+            address: String,
             connection: FramedConnection<ToScheduler, FromScheduler>,
         ) {
             connected.incrementAndGet()
