--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -123,6 +123,10 @@
         }
     }
 
+    /** The leader answers each report. */
+    override val needsPingsOnlyInSilence: Boolean
+        get() = true
+
     override fun isCurrent(): Boolean = highestEpoch >= (directory.newest?.epoch ?: Epoch.NONE)
 
     override fun onDisconnected() {
--- a/core/src/main/kotlin/org/greengagepass/core/process/InterferenceModel.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/InterferenceModel.kt
@@ -44,6 +44,14 @@
     val uncertainty: Double,
 )
 
+/** Estimate of the effect of [kind] on [service], as another model can take it over. */
+public data class PairEstimate(
+    val service: WorkKind,
+    val kind: WorkKind,
+    val mean: Double,
+    val variance: Double,
+)
+
 /** Pairwise slowdowns. The update is a Kalman filter with a diagonal covariance. */
 public class InterferenceModel(
     private val settings: InterferenceModelSettings = InterferenceModelSettings(),
@@ -82,6 +90,16 @@
         return Slowdown(ratio = exp(mean * coreShare), uncertainty = sqrt(variance) * coreShare)
     }
 
+    /** The estimates of all pairs with samples. */
+    public fun pairEstimates(): List<PairEstimate> =
+        pairs.map { (pair, term) -> PairEstimate(pair.first, pair.second, term.mean, term.variance) }
+
+    /** Takes over [estimates], which were current at [now]. */
+    public fun restore(
+        estimates: List<PairEstimate>,
+        now: Timestamp,
+    ): Unit = estimates.forEach { pairs[it.service to it.kind] = Term(it.mean, it.variance, now) }
+
     private fun update(
         inputs: List<Pair<Term, Double>>,
         logLatency: Double,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/InterferenceEstimates.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/InterferenceEstimates.kt
@@ -11,10 +11,23 @@
 import org.greengagepass.core.process.SlowdownSample
 import kotlin.math.ln
 
-/** Estimates effects from the reports of hosts. All effects are logarithms of a slowdown. */
-public class InterferenceEstimates {
+/**
+ * Estimates effects from the reports of hosts, beginning with those that an earlier leader stored. All effects are
+ * logarithms of a slowdown.
+ */
+public class InterferenceEstimates internal constructor(
+    storedRecords: List<StateRecord>,
+    startedAt: Timestamp,
+) {
     private val model = InterferenceModel(MODEL_SETTINGS)
 
+    init {
+        model.restore(EstimateRecords.decode(storedRecords), startedAt)
+    }
+
+    /** The record from which the next leader continues. */
+    internal fun record(): StateRecord = EstimateRecords.encode(model.pairEstimates())
+
     /** Updates the model from the newest report of [host]. */
     internal fun update(
         host: Host,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
@@ -12,15 +12,18 @@
     val effects: List<SchedulerEffect>,
 )
 
-/** Schedules the jobs in [jobs] from [leadershipStartedAt] on. */
+/** Schedules the jobs in [jobs] from [leadershipStartedAt] on, with the estimates in [storedRecords]. */
 public class JobScheduler(
     settings: SchedulerSettings,
     jobs: JobTable,
     leadershipStartedAt: Timestamp,
+    storedRecords: List<StateRecord> = emptyList(),
 ) {
     /** State that the decisions are based on. */
-    public val state: SchedulerState = SchedulerState(settings, jobs, leadershipStartedAt)
+    public val state: SchedulerState = SchedulerState(settings, jobs, leadershipStartedAt, storedRecords)
 
+    private var estimatesDueAt = leadershipStartedAt.plusMillis(ESTIMATES_INTERVAL_MILLIS)
+    private var now = leadershipStartedAt
     private val transitions = RunTransitions(state)
     private val taskPlacer = TaskPlacer(state, transitions)
     private val latencyController = LatencyController(state)
@@ -44,7 +47,8 @@
         moment: Moment,
         mayStart: Boolean,
     ) {
-        hosts.expireLeases(moment.now)
+        now = moment.now
+        hosts.expireLeases(now)
         stalledRunStopper.stop(moment)
         overdueRunMover.move(moment)
         latencyController.adjust(moment)
@@ -59,11 +63,27 @@
     /** Takes the next batch, or null if there are no changes to store and no effects that wait for them. */
     public fun takeBatch(): SchedulerBatch? =
         if (state.jobs.hasChanges || state.effects.isWaitingForStore) {
-            SchedulerBatch(state.jobs.takeChanges(), state.effects.takeAfterStored())
+            val change = state.jobs.takeChanges()
+            SchedulerBatch(
+                if (change.records.isEmpty()) change else withEstimates(change),
+                state.effects.takeAfterStored(),
+            )
         } else {
             null
         }
 
+    /** Adds the estimates to a change that is written anyway, so that they cost no append of their own. */
+    private fun withEstimates(change: JobTableChange): JobTableChange {
+        if (now < estimatesDueAt) return change
+        estimatesDueAt = now.plusMillis(ESTIMATES_INTERVAL_MILLIS)
+        return change.copy(records = change.records + state.interference.record())
+    }
+
     /** Handles the confirmation that [batch] is stored. */
     public fun stored(batch: SchedulerBatch): Unit = state.jobs.stored(batch.change)
+
+    private companion object {
+        /** Half of the pairs that matter are learnt within some seconds of the first task of their image. */
+        private const val ESTIMATES_INTERVAL_MILLIS = 2_000L
+    }
 }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -27,6 +27,7 @@
     public val settings: SchedulerSettings,
     public val jobs: JobTable,
     leadershipStartedAt: Timestamp,
+    storedRecords: List<StateRecord> = emptyList(),
 ) {
     /** The hosts. */
     public val hosts: HostTable = HostTable(settings)
@@ -35,7 +36,7 @@
     public val reliability: HostReliability = HostReliability()
 
     /** Effects of best-effort tasks on serving tasks. */
-    public val interference: InterferenceEstimates = InterferenceEstimates()
+    public val interference: InterferenceEstimates = InterferenceEstimates(storedRecords, leadershipStartedAt)
 
     /** The newest configuration. */
     public var configuration: JobConfiguration = JobConfiguration()
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
@@ -83,8 +83,9 @@
 internal class SchedulerHarness(
     jobs: List<Job> = emptyList(),
     startedAt: Long = 0,
+    storedRecords: List<StateRecord> = emptyList(),
 ) {
-    val scheduler = JobScheduler(SETTINGS, JobTable(jobs), Timestamp(startedAt))
+    val scheduler = JobScheduler(SETTINGS, JobTable(jobs), Timestamp(startedAt), storedRecords)
     val stored = LinkedHashMap<String, StateRecord>()
     private val pollNumbers = HashMap<HostIncarnation, Long>()
 
@@ -136,7 +137,7 @@
 
     /** A scheduler that starts from the stored jobs of this one and becomes leader at [startedAt]. */
     fun successor(startedAt: Long): SchedulerHarness =
-        SchedulerHarness(StoredJobs.decode(stored.values.toList()), startedAt)
+        stored.values.toList().let { SchedulerHarness(StoredJobs.decode(it), startedAt, it) }
 
     fun visibleStatus(job: String): JobStatus? = scheduler.state.jobs.visibleStatus(JobId(job))
 
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/LoadDecisionsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/LoadDecisionsTest.kt
@@ -118,7 +118,7 @@
 
     @Test
     fun `a run is not taken for stalled while its host does not report`() {
-        // Guards against stopping work on a host that is only slow to report, after one measurement of a run that began.
+        // Guards against stopping work on a host that is only slow to report, after one measurement of a new run.
         val run = harness.startOn(description(first), step())
         harness.report(first, 400, running = listOf(running(run, measurement = 0)))
         val stops = ArrayList<SchedulerEffect.Stop>()
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/SharedHostsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/SharedHostsTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotEqualTo
 
 /** Tests how best-effort tasks and serving tasks share hosts. */
 class SharedHostsTest {
@@ -92,6 +93,31 @@
         expectThat(throttles.single().percent).isGreaterThan(5)
     }
 
+    @Test
+    fun `the next leader keeps the estimates`() {
+        // Guards against learning strongly interfering pairs anew, at the cost of callers, after each change of leader.
+        val runs = startBeside(bestEffortStep())
+        observe(runs, latency = 60) {}
+        harness.submit("more", specification(step()), 5_000)
+        harness.effects(5_010)
+        val next = harness.successor(startedAt = 6_000)
+        expectThat(effectOf(next)).isNotEqualTo(effectOf(SchedulerHarness()))
+        expectThat(effectOf(next)).isEqualTo(effectOf(harness), TOLERANCE)
+    }
+
+    @Test
+    fun `estimates that can't be decoded are learnt anew`() {
+        val damaged = SchedulerHarness(storedRecords = listOf(StateRecord("estimates", byteArrayOf(1, 2, 3))))
+        expectThat(effectOf(damaged)).isEqualTo(effectOf(SchedulerHarness()))
+    }
+
+    private fun effectOf(scheduler: SchedulerHarness): Double {
+        scheduler.connect(description(second), 0)
+        val host = checkNotNull(scheduler.scheduler.state.hosts[second])
+        return scheduler.scheduler.state.interference
+            .effect(host, "best-effort", milliCores = 4_000, "service")
+    }
+
     @Test
     fun `a task may run beside a service at its latency setpoint if it slows only another service`() {
         // Guards against excluding a host because of one service's latency and the largest effect on another service.
@@ -144,4 +170,9 @@
             alsoAt(millis)
             harness.effects(millis + 10).filterIsInstance<SchedulerEffect.Stop>()
         }
+
+    private companion object {
+        /** Stored estimates have the precision of a [Float]. */
+        private const val TOLERANCE = 1e-4
+    }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
@@ -154,7 +154,7 @@
         val deadline = moment().now.plusMillis(settings.shutdownMillis * STOP_PERCENT / PERCENT)
         view.shutdownDeadline = deadline
         val rotationEnds = moment().now.plusMillis(ROTATION_MILLIS)
-        leader?.handOver()
+        leader?.isHandingOver = true
         while (moment().now < deadline && (moment().now < rotationEnds || isNeeded())) delay(STOP_POLL_MILLIS)
         leader?.end()
         listener.close()
@@ -172,7 +172,7 @@
 
     private companion object {
         private val logger = LogManager.getLogger(JobEntryProcess::class.java)
-        private const val CANDIDATE_MILLIS = 40L
+        private const val CANDIDATE_MILLIS = 80L
         private const val ANNOUNCE_RETRY_MILLIS = 200L
         private const val STOP_POLL_MILLIS = 50L
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -51,7 +51,9 @@
     private val ended = CompletableDeferred<Unit>()
     private var lastCall = 0L
     private var isWriting = false
-    private var isHandingOver = false
+
+    /** Set to ask the other entries to replace this leader, which leads on until one of them does. */
+    public var isHandingOver: Boolean = false
 
     /** True while the leadership lasts. */
     public val isActive: Boolean
@@ -81,11 +83,6 @@
         }
     }
 
-    /** Asks the other entries to replace this leader, which leads on until one of them does. */
-    public fun handOver() {
-        isHandingOver = true
-    }
-
     /** Ends the leadership. */
     public fun end() {
         ended.complete(Unit)
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/LeadershipCandidate.kt
@@ -127,7 +127,7 @@
         logger.info("this entry is the leader in epoch {} with {} jobs", epoch.value, jobs.size)
         return Leader(
             leadership = leadership,
-            scheduler = JobScheduler(settings, JobTable(jobs), now),
+            scheduler = JobScheduler(settings, JobTable(jobs), now, snapshot.records),
             writer = StateWriter(context.store, epoch, sequence + 1, context.clock, confirmation),
             confirmation = confirmation,
             context = context,
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeaderTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeaderTest.kt
@@ -136,7 +136,7 @@
             // Guards against seconds without a leader while the other entries are being started again.
             val leader = leader()
             val leading = launch { leader.run() }
-            leader.handOver()
+            leader.isHandingOver = true
             delay(3_000)
             expectThat(leader.isActive).isTrue()
             store.failures += StoreFailure.Fenced("fenced")
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
@@ -35,6 +35,13 @@
     /** Called when the connection has ended. */
     public fun onDisconnected()
 
+    /**
+     * True if any message of the leader tells as much as the answer to a ping. Pings are then sent only while no
+     * message arrives, which halves the messages of a leader with many hosts.
+     */
+    public val needsPingsOnlyInSilence: Boolean
+        get() = false
+
     /** Called when [address] is known not to be the leader: no process listens there, or the process replies so. */
     public fun onNotLeading(address: String): Unit = Unit
 }
@@ -48,6 +55,7 @@
     private val outgoing = MessageCodec(ToScheduler.serializer())
     private val incoming = MessageCodec(FromScheduler.serializer())
     private var leaderHint: String? = null
+    private var hasReceivedSincePing = false
 
     /** Connects and reconnects until the coroutine is cancelled. */
     public suspend fun run() {
@@ -106,6 +114,7 @@
         try {
             var message = receiveNext(connection)
             while (message != null && listener.isCurrent()) {
+                hasReceivedSincePing = true
                 listener.onMessage(message)
                 message = receiveNext(connection)
             }
@@ -119,8 +128,12 @@
         withTimeoutOrNull(SILENCE_MILLIS) { connection.receive().getOrNull() }
 
     private suspend fun sendPings(connection: FramedConnection<ToScheduler, FromScheduler>) {
-        while (connection.send(ToScheduler.Ping)) {
+        var isOpen = connection.send(ToScheduler.Ping)
+        while (isOpen) {
+            hasReceivedSincePing = false
             delay(PING_INTERVAL_MILLIS)
+            val isNeeded = !hasReceivedSincePing || !listener.needsPingsOnlyInSilence
+            isOpen = !isNeeded || connection.send(ToScheduler.Ping)
         }
     }
 
--- a/protocol/src/test/kotlin/org/greengagepass/protocol/connection/SchedulerDialerTest.kt
+++ b/protocol/src/test/kotlin/org/greengagepass/protocol/connection/SchedulerDialerTest.kt
@@ -16,6 +16,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
 import java.io.DataInputStream
 import java.io.DataOutputStream
@@ -60,6 +61,19 @@
         }
     }
 
+    @Test
+    fun `no pings are sent while other messages of the leader arrive`() {
+        // Guards against a leader that answers twice as many messages as its hosts need.
+        listener.needsPingsOnlyInSilence = true
+        serve(answersPings = true, sendsMessages = true)
+        dial {
+            withTimeoutOrNull(TIMEOUT_MILLIS) { while (listener.messages.get() < MESSAGES_MINIMUM) delay(POLL_MILLIS) }
+            expectThat(listener.messages.get()).isGreaterThan(MESSAGES_MINIMUM - 1)
+            expectThat(pings.get()).isLessThan(3)
+            expectThat(listener.disconnected.get()).isEqualTo(0)
+        }
+    }
+
     private fun dial(check: suspend () -> Unit) =
         runBlocking {
             FrameConnector(Dispatchers.IO).use { connector ->
@@ -70,13 +84,15 @@
             }
         }
 
-    private fun serve(answersPings: Boolean) =
-        thread(isDaemon = true) {
-            while (!server.isClosed) {
-                val socket = accept() ?: break
-                thread(isDaemon = true) { answer(socket, answersPings) }
-            }
+    private fun serve(
+        answersPings: Boolean,
+        sendsMessages: Boolean = false,
+    ) = thread(isDaemon = true) {
+        while (!server.isClosed) {
+            val socket = accept() ?: break
+            thread(isDaemon = true) { answer(socket, answersPings, sendsMessages) }
         }
+    }
 
     private fun accept(): Socket? =
         try {
@@ -86,13 +102,39 @@
             null
         }
 
+    /** Sends a message every [POLL_MILLIS], as to a host that reports often. */
+    private fun sendMessages(output: DataOutputStream) {
+        try {
+            while (true) {
+                Thread.sleep(POLL_MILLIS)
+                send(output, FromScheduler.Pong(isStoreAvailable = true))
+            }
+        } catch (_: IOException) {
+            // The dialer has closed the connection.
+        }
+    }
+
+    private fun send(
+        output: DataOutputStream,
+        message: FromScheduler,
+    ) = synchronized(output) {
+        val bytes = outgoing.encode(message)
+        output.writeInt(bytes.size)
+        output.write(bytes)
+        output.flush()
+    }
+
     private fun answer(
         socket: Socket,
         answersPings: Boolean,
+        sendsMessages: Boolean,
     ) {
         try {
             val input = DataInputStream(socket.getInputStream())
-            while (true) answerOne(input, DataOutputStream(socket.getOutputStream()), answersPings)
+            val output = DataOutputStream(socket.getOutputStream())
+            answerOne(input, output, answersPings)
+            if (sendsMessages) thread(isDaemon = true) { sendMessages(output) }
+            while (true) answerOne(input, output, answersPings)
         } catch (_: IOException) {
             // The dialer has closed the connection.
         }
@@ -111,10 +153,7 @@
                 is ToScheduler.Ping -> FromScheduler.Pong(isStoreAvailable = true).takeIf { answersPings }
                 else -> null
             } ?: return
-        val bytes = outgoing.encode(reply)
-        output.writeInt(bytes.size)
-        output.write(bytes)
-        output.flush()
+        send(output, reply)
     }
 
     private class RecordingListener(
@@ -122,6 +161,8 @@
     ) : SchedulerConnectionListener {
         val connected = AtomicInteger()
         val disconnected = AtomicInteger()
+        val messages = AtomicInteger()
+        override var needsPingsOnlyInSilence = false
 
         override fun addresses() = listOf(address)
 
@@ -135,7 +176,9 @@
             connected.incrementAndGet()
         }
 
-        override fun onMessage(message: FromScheduler) = Unit
+        override fun onMessage(message: FromScheduler) {
+            messages.incrementAndGet()
+        }
 
         override fun isCurrent() = true
 
@@ -153,5 +196,8 @@
 
         /** More pings than the dialer sends during the silence that ends a connection. */
         private const val PINGS_MINIMUM = 5
+
+        /** Messages of three ping intervals. */
+        private const val MESSAGES_MINIMUM = 60
     }
 }
