Tell crashes of executors from other ends, and report the runs that were there

The leader's host_gone line was the same for a crash, a deregistration and a loss of power, and no line said how long each run had been on the executor, so that the three hypotheses could only be told apart by hand.

The agent, which sees every start command and every poll, now notes which runs the executor holds since when. If a new incarnation announces itself and the earlier one did not drain, the agent logs the crash with the age of each run, counts it (greengagepass_agent_executor_crashes) and reports it to the leader with the host's description, to every leader anew. A poll without an answer is passed on at once, and logged as host_silent. host_gone names the kind of end: crashed, deregistered or unobserved. No decision depends on it yet.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/ExecutorPoller.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/ExecutorPoller.kt
@@ -28,9 +28,10 @@
     fun callContext() = ExecutorCallContext(incarnation, epoch, leaseUntilHostClock)
 }
 
-/** Polls [executor] and passes each result to [sendReport]. */
+/** Polls [executor] and passes each result to [sendReport], or the incarnation that did not answer to [onSilent]. */
 internal class ExecutorPoller(
     private val executor: ExecutorClient,
+    private val onSilent: (HostIncarnation) -> Unit = {},
     private val sendReport: (HostReport) -> Unit,
 ) {
     private val replies = Channel<Unit>(Channel.CONFLATED)
@@ -56,7 +57,9 @@
             val snapshot = executor.poll(lease.callContext(), lease.acknowledgedEnds, waitMillis).getOrNull()
             if (!isCurrent()) return
             while (replies.tryReceive().isSuccess) Unit
-            snapshot?.takeIf { isOf(lease.incarnation, it) }?.let { sendReport(reportOf(lease, number, it)) }
+            if (snapshot == null) onSilent(lease.incarnation)
+            // The heartbeat of a later incarnation that has answered may not have arrived yet.
+            snapshot?.takeIf { it.mayBeOf(lease.incarnation) }?.let { sendReport(reportOf(lease, number, it)) }
             // The executor answers at once while it has unacknowledged ends, so wait for the acknowledgement first.
             val hasUnacknowledgedEnds = (snapshot?.ends?.lastOrNull()?.number ?: 0) > lease.acknowledgedEnds
             awaitReplies(
@@ -64,16 +67,10 @@
                 snapshot,
                 if (hasUnacknowledgedEnds || snapshot == null) ENDS_TIMEOUT_MILLIS else GRANT_TIMEOUT_MILLIS,
             )
-            waitMillis = POLL_WAIT_MILLIS
+            waitMillis = if (snapshot == null) 0 else POLL_WAIT_MILLIS
         }
     }
 
-    /** False if a later incarnation under the same name has answered, whose heartbeat has not arrived yet. */
-    private fun isOf(
-        incarnation: HostIncarnation,
-        snapshot: ExecutorSnapshot,
-    ): Boolean = (snapshot.startedAtEpochMillis ?: 0) <= incarnation.startedAtEpochMillis
-
     private suspend fun awaitReplies(
         lease: GrantedLease,
         snapshot: ExecutorSnapshot?,
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostMetrics.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostMetrics.kt
@@ -16,6 +16,9 @@
         registry.counter("greengagepass_agent_starts", "outcome", outcome?.name?.lowercase() ?: "lost").increment()
     }
 
+    /** Counts a crash of the executor. */
+    fun recordCrash(): Unit = registry.counter("greengagepass_agent_executor_crashes").increment()
+
     /** Returns all counters as text, one per line. */
     fun text(): String =
         registry.meters.filterIsInstance<Counter>().joinToString("") { counter ->
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -10,8 +10,10 @@
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.Epoch
+import org.greengagepass.core.process.jobs.ExecutorCrash
 import org.greengagepass.core.process.jobs.ExecutorName
 import org.greengagepass.core.process.jobs.HostDescription
+import org.greengagepass.core.process.jobs.TaskRun
 import org.greengagepass.protocol.connection.FramedConnection
 import org.greengagepass.protocol.connection.FromScheduler
 import org.greengagepass.protocol.connection.PROTOCOL_VERSION
@@ -23,13 +25,20 @@
 
 /** Connects [executor] to the leader. */
 internal class HostSupervisor(
-    executor: ExecutorClient,
+    executorClient: ExecutorClient,
     private val directory: LeaderDirectory,
     private val seedAddresses: List<String>,
     private val scope: CoroutineScope,
-    metrics: HostMetrics,
+    private val metrics: HostMetrics,
+    private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
 ) : SchedulerConnectionListener {
-    private val poller = ExecutorPoller(executor) { connection?.send(ToScheduler.Report(it)) }
+    private val executor = CrashObserver(executorClient, clock)
+    private val poller =
+        ExecutorPoller(
+            executor = executor,
+            onSilent = { connection?.send(ToScheduler.ExecutorSilent(it)) },
+            sendReport = { connection?.send(ToScheduler.Report(it)) },
+        )
     private val commandHandler =
         CommandHandler(
             executor = executor,
@@ -53,13 +62,16 @@
     private var lease: GrantedLease? = null
     private var polling: Job? = null
     private var highestEpoch = Epoch.NONE
+    private var crashes = listOf<ExecutorCrash>()
 
     /** Handles an announcement of the executor. */
-    fun onAlive(announced: HostDescription) {
+    fun onAlive(announcement: HostDescription) {
         val previous = description
+        val isNewIncarnation = previous != null && previous.incarnation != announcement.incarnation
+        if (previous != null && isNewIncarnation) onReplaced(previous)
+        val announced = announcement.copy(crashes = crashes)
         if (previous == announced) return
         description = announced
-        val isNewIncarnation = previous != null && previous.incarnation != announced.incarnation
         if (previous == null || isNewIncarnation || previous.isDraining != announced.isDraining) {
             logger.info(
                 "host {} in pool {}, draining: {}",
@@ -72,9 +84,26 @@
         if (isNewIncarnation) connection?.let { follow(highestEpoch) }
     }
 
-    /** Handles the announcement that [executor] has deregistered. */
-    fun onDeregistered(executor: ExecutorName) {
-        val previous = description?.takeIf { it.incarnation.executor == executor } ?: return
+    /** Notes a crash unless the executor described by [previous] had announced its end. */
+    private fun onReplaced(previous: HostDescription) {
+        if (previous.isDraining) return executor.reset()
+        val crash = executor.takeCrash(previous.incarnation, System.currentTimeMillis())
+        crashes = (crashes + crash).takeLast(CRASHES_MAXIMUM)
+        metrics.recordCrash()
+        logger.warn(
+            "the executor of host {} has crashed; runs, with milliseconds since their start: {}",
+            previous.incarnation,
+            crash.runs.take(RUNS_LOGGED_MAXIMUM).joinToString { "${describe(it.run)} ${crash.ageMillis(it)}" },
+        )
+    }
+
+    private fun describe(run: TaskRun): String =
+        run.task.run { "${job.value}.$occurrence.$step.$index" } + " run ${run.number}"
+
+    /** Handles the announcement that [name] has deregistered. */
+    fun onDeregistered(name: ExecutorName) {
+        val previous = description?.takeIf { it.incarnation.executor == name } ?: return
+        executor.reset()
         logger.info("the executor of host {} has deregistered", previous.incarnation)
         connection?.send(ToScheduler.HostGone(previous.incarnation))
         description = null
@@ -146,6 +175,13 @@
         lease?.let { it.incarnation == callContext.incarnation && it.epoch == callContext.epoch } ?: false
 
     private companion object {
+        private const val NANOS_PER_MILLI = 1_000_000
+
+        /** Covers the crashes that may come while no leader is there to count them. */
+        private const val CRASHES_MAXIMUM = 3
+
+        /** Bounds the log line of a crash; the runs with the latest start come first. */
+        private const val RUNS_LOGGED_MAXIMUM = 20
         private val logger = LogManager.getLogger("org.greengagepass.agent")
     }
 }
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/ExecutorPollerTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/ExecutorPollerTest.kt
@@ -43,7 +43,7 @@
 
     private suspend fun reports(startedAtEpochMillis: Long?): List<HostReport> {
         val reports = ArrayList<HostReport>()
-        val poller = ExecutorPoller(PolledExecutor(startedAtEpochMillis)) { reports += it }
+        val poller = ExecutorPoller(PolledExecutor(startedAtEpochMillis), sendReport = { reports += it })
         coroutineScope {
             var isCurrent = true
             val polling = launch { poller.run(lease) { isCurrent } }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -114,6 +114,10 @@
     public var leaseUntilHostClock: Long = 0
         internal set
 
+    /** Since when the host's executor has not answered its agent, or null if it answers. */
+    public var silentSince: Timestamp? = null
+        internal set
+
     /** Number of the last run end that the scheduler's state includes. */
     internal var processedEnds: Long = 0
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -21,13 +21,21 @@
         val host = state.hosts.connect(description)
         earlier.forEach {
             if (it.incarnation.executor == description.incarnation.executor) adoptUnconfirmed(it, host, moment)
-            incarnationEnded(it.incarnation, moment)
+            incarnationEnded(it.incarnation, endOf(it, description), moment)
         }
         state.effects.logDecision(
             Decision("host_connected", host = description.incarnation, detail = description.pool.value),
         )
     }
 
+    private fun endOf(
+        earlier: Host,
+        later: HostDescription,
+    ): IncarnationEnd {
+        val hasCrashed = later.crashes.any { it.incarnation == earlier.incarnation }
+        return if (hasCrashed) IncarnationEnd.CRASHED else IncarnationEnd.UNOBSERVED
+    }
+
     /**
      * Assigns runs of [earlier] whose start is not confirmed to [host]. Both incarnations have the same name, by which
      * commands are addressed, so that a start command for the earlier one may have taken effect in the later one.
@@ -70,13 +78,24 @@
         state.effects.logDecision(Decision("host_disconnected", host = incarnation))
     }
 
+    /** Handles the message that the executor of [incarnation] does not answer. */
+    public fun silent(
+        incarnation: HostIncarnation,
+        moment: Moment,
+    ) {
+        val host = state.hosts[incarnation] ?: return
+        if (host.silentSince == null) state.effects.logDecision(Decision("host_silent", host = incarnation))
+        host.silentSince = host.silentSince ?: moment.now
+    }
+
     /** Handles the end of an incarnation of a host, which ends all its runs. */
     public fun incarnationEnded(
         incarnation: HostIncarnation,
+        end: IncarnationEnd,
         moment: Moment,
     ) {
         val host = state.hosts[incarnation] ?: return
-        val detail = "${host.runs.size} runs at ${moment.epochMillis}"
+        val detail = "${end.name.lowercase()}, ${host.runs.size} runs at ${moment.epochMillis}"
         state.effects.logDecision(Decision("host_gone", host = incarnation, detail = detail))
         host.runs.values
             .toList()
@@ -96,6 +115,7 @@
     ): Long? {
         val host = state.hosts[report.incarnation]?.takeIf { it.isConnected } ?: return null
         host.lastReportAt = moment.now
+        host.silentSince = null
         reportHandler.handle(host, report, moment)
         return if (mayExtendLease) state.hosts.extendLease(host, report.clockMillis, moment.now) else null
     }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReport.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReport.kt
@@ -22,8 +22,22 @@
     val labels: List<String>,
     val capacity: Resources,
     val isDraining: Boolean = false,
+    /** Latest crashes of executors on the host, oldest first; repeated in every description. */
+    val crashes: List<ExecutorCrash> = emptyList(),
 )
 
+/** How an incarnation of a host ended. */
+public enum class IncarnationEnd {
+    /** The executor ended without notice, and the agent of its host saw it. */
+    CRASHED,
+
+    /** The executor deregistered. */
+    DEREGISTERED,
+
+    /** A later incarnation has replaced it while no agent was there, as after a loss of power. */
+    UNOBSERVED,
+}
+
 /** How a run ended. */
 @Serializable
 public enum class RunOutcome {
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
@@ -4,7 +4,9 @@
 package org.greengagepass.entry.process.jobs
 
 import org.greengagepass.core.process.jobs.HostDescription
+import org.greengagepass.core.process.jobs.HostIncarnation
 import org.greengagepass.core.process.jobs.HostReport
+import org.greengagepass.core.process.jobs.IncarnationEnd
 import org.greengagepass.core.process.jobs.JobScheduler
 import org.greengagepass.core.process.jobs.Moment
 import org.greengagepass.core.process.jobs.SchedulerEffect
@@ -26,7 +28,13 @@
         when (message) {
             is ToScheduler.HostHello -> connect(session, message.description)
             is ToScheduler.HostDescribed -> describe(session, message.description)
-            is ToScheduler.HostGone -> scheduler.hosts.incarnationEnded(message.incarnation, clock())
+            is ToScheduler.HostGone ->
+                scheduler.hosts.incarnationEnded(
+                    message.incarnation,
+                    IncarnationEnd.DEREGISTERED,
+                    clock(),
+                )
+            is ToScheduler.ExecutorSilent -> silent(session, message.incarnation)
             is ToScheduler.Report -> report(session, message.report, mayExtendLease)
             is ToScheduler.StartAnswered -> scheduler.hosts.startAnswered(message.result, clock())
             is ToScheduler.StopAnswered -> scheduler.hosts.stopAnswered(message.result)
@@ -59,6 +67,13 @@
         }
     }
 
+    private fun silent(
+        session: SchedulerSession,
+        incarnation: HostIncarnation,
+    ) {
+        if (sessions.isAttached(incarnation, session)) scheduler.hosts.silent(incarnation, clock())
+    }
+
     private fun report(
         session: SchedulerSession,
         report: HostReport,
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerMessage.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerMessage.kt
@@ -87,6 +87,13 @@
         val incarnation: HostIncarnation,
     ) : ToScheduler()
 
+    /** The host's executor does not answer; the next report shows that it does again. */
+    @Serializable
+    @SerialName("silent")
+    public data class ExecutorSilent(
+        val incarnation: HostIncarnation,
+    ) : ToScheduler()
+
     /** Reports what the host holds. */
     @Serializable
     @SerialName("report")
--- a/services/src/main/kotlin/org/greengagepass/services/process/ExecutorClient.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/ExecutorClient.kt
@@ -21,7 +21,11 @@
     val running: List<RunStatus>,
     val ends: List<RunEnd>,
     val listsAllEnds: Boolean,
-)
+) {
+    /** False if a later incarnation than [incarnation] under the same name has answered. */
+    public fun mayBeOf(incarnation: HostIncarnation): Boolean =
+        (startedAtEpochMillis ?: 0) <= incarnation.startedAtEpochMillis
+}
 
 /** The incarnation of the host that a call is for, the leader's epoch, and the end of the host's lease. */
 public data class ExecutorCallContext(
