--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
@@ -137,7 +137,10 @@
 
     /** A scheduler that starts from the stored jobs of this one and becomes leader at [startedAt]. */
     fun successor(startedAt: Long): SchedulerHarness =
-        stored.values.toList().let { SchedulerHarness(StoredJobs.decode(it), startedAt, it) }
+        stored.values
+            .toList()
+            .let { SchedulerHarness(StoredJobs.decode(it), startedAt, it) }
+            .also { it.stored += stored }
 
     fun visibleStatus(job: String): JobStatus? = scheduler.state.jobs.visibleStatus(JobId(job))
 
