Give up tasks that crash the executors that start them

Cause: a run counted as failed only if its executor listed its end. A crashed executor lists nothing, so its runs were released as if they had never started, and all of them were placed again at once, most on the host that had just come back. Class of fault: an outcome without a reply is not an outcome, so the retry has no bound.

Change: the agent's report of a crash is counted against the tasks that had started less than 500 ms before (CrashAttribution). They are suspects: they run apart, the suspects of one job on a host of its own (TrialHosts), until they have lasted for their trial. A second crash then has one job to blame, which is given up as failed. The history is stored with the task and counted once for each run number, since agents repeat their reports to every leader. Racks, failure domains and several hosts that go down at once excuse a task once (HostOutages); more crashes are needed while hosts go down for other causes or a task on the host had not been there for long. Tasks at three crashes after any time get a longer trial, so that one that crashes its executors late is found too. A host whose executor does not answer gets no tasks, and a stop that was requested is repeated after a reconnection instead of a start.

Tried and dropped: not counting crashes with a common cause at all (tasks that were placed again together crashed their hosts together again, up to 8 starts); a verdict from the number of losses alone (gave up innocent tasks).

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CrashObserver.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CrashObserver.kt
@@ -5,7 +5,9 @@
 package org.greengagepass.agent.process.jobs
 
 import arrow.core.Either
+import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.process.jobs.ExecutorCrash
+import org.greengagepass.core.process.jobs.HostDescription
 import org.greengagepass.core.process.jobs.HostIncarnation
 import org.greengagepass.core.process.jobs.RunAtCrash
 import org.greengagepass.core.process.jobs.StartCommand
@@ -20,7 +22,12 @@
 internal class CrashObserver(
     private val executor: ExecutorClient,
     private val clock: () -> Long,
+    private val epochClock: () -> Long = System::currentTimeMillis,
 ) : ExecutorClient by executor {
+    /** The latest crashes, oldest first. */
+    var crashes: List<ExecutorCrash> = emptyList()
+        private set
+
     private val runs = HashMap<TaskRun, ObservedRun>()
     private var pollNumber = 0L
     private var silentSince: Long? = null
@@ -59,11 +66,31 @@
         return result
     }
 
-    /** Returns the crash of [incarnation], which has ended, and begins with the next incarnation. */
-    fun takeCrash(
-        incarnation: HostIncarnation,
-        epochMillis: Long,
-    ): ExecutorCrash {
+    /**
+     * Handles the replacement of the incarnation in [previous] by a later one. Returns true if it was a crash, which is
+     * any end that the executor had not announced.
+     */
+    fun replaced(previous: HostDescription): Boolean {
+        if (!previous.isDraining) {
+            val crash = crashOf(previous.incarnation)
+            crashes = (crashes + crash).takeLast(CRASHES_MAXIMUM)
+            logger.warn(
+                "the executor of host {} has crashed; runs, with milliseconds since their start: {}",
+                previous.incarnation,
+                crash.runs.take(RUNS_LOGGED_MAXIMUM).joinToString { "${describe(it.run)} ${crash.ageMillis(it)}" },
+            )
+        }
+        reset()
+        return !previous.isDraining
+    }
+
+    /** Forgets the runs of an incarnation that has ended as planned. */
+    fun reset() {
+        runs.clear()
+        silentSince = null
+    }
+
+    private fun crashOf(incarnation: HostIncarnation): ExecutorCrash {
         val now = clock()
         val crashedAt = silentSince ?: now
         val atCrash =
@@ -71,15 +98,11 @@
                 .map { (run, observed) -> RunAtCrash(run, observed.startedAt) }
                 .sortedByDescending { it.startedAtAgentClock }
                 .take(RUNS_MAXIMUM)
-        reset()
-        return ExecutorCrash(incarnation, crashedAt, epochMillis - (now - crashedAt), atCrash)
+        return ExecutorCrash(incarnation, crashedAt, epochClock() - (now - crashedAt), atCrash)
     }
 
-    /** Forgets the runs of an incarnation that has ended as planned. */
-    fun reset() {
-        runs.clear()
-        silentSince = null
-    }
+    private fun describe(run: TaskRun): String =
+        run.task.run { "${job.value}.$occurrence.$step.$index" } + " run ${run.number}"
 
     /** Removes runs that the executor, asked after their start was answered, no longer holds. */
     private fun update(
@@ -107,5 +130,12 @@
     private companion object {
         /** Bounds the report of a crash to some tens of kilobytes. */
         private const val RUNS_MAXIMUM = 200
+
+        /** Covers the crashes that may come while no leader is there to count them. */
+        private const val CRASHES_MAXIMUM = 3
+
+        /** Bounds the log line of a crash; the runs with the latest start come first. */
+        private const val RUNS_LOGGED_MAXIMUM = 20
+        private val logger = LogManager.getLogger("org.greengagepass.agent")
     }
 }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -10,10 +10,8 @@
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.Epoch
-import org.greengagepass.core.process.jobs.ExecutorCrash
 import org.greengagepass.core.process.jobs.ExecutorName
 import org.greengagepass.core.process.jobs.HostDescription
-import org.greengagepass.core.process.jobs.TaskRun
 import org.greengagepass.protocol.connection.FramedConnection
 import org.greengagepass.protocol.connection.FromScheduler
 import org.greengagepass.protocol.connection.PROTOCOL_VERSION
@@ -62,14 +60,13 @@
     private var lease: GrantedLease? = null
     private var polling: Job? = null
     private var highestEpoch = Epoch.NONE
-    private var crashes = listOf<ExecutorCrash>()
 
     /** Handles an announcement of the executor. */
     fun onAlive(announcement: HostDescription) {
         val previous = description
         val isNewIncarnation = previous != null && previous.incarnation != announcement.incarnation
-        if (previous != null && isNewIncarnation) onReplaced(previous)
-        val announced = announcement.copy(crashes = crashes)
+        if (previous != null && isNewIncarnation && executor.replaced(previous)) metrics.recordCrash()
+        val announced = announcement.copy(crashes = executor.crashes)
         if (previous == announced) return
         description = announced
         if (previous == null || isNewIncarnation || previous.isDraining != announced.isDraining) {
@@ -84,22 +81,6 @@
         if (isNewIncarnation) connection?.let { follow(highestEpoch) }
     }
 
-    /** Notes a crash unless the executor described by [previous] had announced its end. */
-    private fun onReplaced(previous: HostDescription) {
-        if (previous.isDraining) return executor.reset()
-        val crash = executor.takeCrash(previous.incarnation, System.currentTimeMillis())
-        crashes = (crashes + crash).takeLast(CRASHES_MAXIMUM)
-        metrics.recordCrash()
-        logger.warn(
-            "the executor of host {} has crashed; runs, with milliseconds since their start: {}",
-            previous.incarnation,
-            crash.runs.take(RUNS_LOGGED_MAXIMUM).joinToString { "${describe(it.run)} ${crash.ageMillis(it)}" },
-        )
-    }
-
-    private fun describe(run: TaskRun): String =
-        run.task.run { "${job.value}.$occurrence.$step.$index" } + " run ${run.number}"
-
     /** Handles the announcement that [name] has deregistered. */
     fun onDeregistered(name: ExecutorName) {
         val previous = description?.takeIf { it.incarnation.executor == name } ?: return
@@ -176,12 +157,6 @@
 
     private companion object {
         private const val NANOS_PER_MILLI = 1_000_000
-
-        /** Covers the crashes that may come while no leader is there to count them. */
-        private const val CRASHES_MAXIMUM = 3
-
-        /** Bounds the log line of a crash; the runs with the latest start come first. */
-        private const val RUNS_LOGGED_MAXIMUM = 20
         private val logger = LogManager.getLogger("org.greengagepass.agent")
     }
 }
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CrashObserverTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CrashObserverTest.kt
@@ -5,8 +5,14 @@
 import arrow.core.right
 import kotlinx.coroutines.test.runTest
 import org.greengagepass.core.Epoch
+import org.greengagepass.core.FailureDomainName
 import org.greengagepass.core.HostId
+import org.greengagepass.core.RackName
+import org.greengagepass.core.Resources
+import org.greengagepass.core.ServiceName
+import org.greengagepass.core.process.jobs.ExecutorCrash
 import org.greengagepass.core.process.jobs.ExecutorName
+import org.greengagepass.core.process.jobs.HostDescription
 import org.greengagepass.core.process.jobs.HostIncarnation
 import org.greengagepass.core.process.jobs.JobId
 import org.greengagepass.core.process.jobs.RunStatus
@@ -22,13 +28,24 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
 
 class CrashObserverTest {
     private val incarnation = HostIncarnation(HostId("host"), ExecutorName("executor"), startedAtEpochMillis = 7)
     private val context = ExecutorCallContext(incarnation, Epoch(1), leaseUntilHostClock = 5_000)
+    private val description =
+        HostDescription(
+            incarnation = incarnation,
+            pool = ServiceName("pool"),
+            failureDomain = FailureDomainName("north"),
+            rack = RackName("rack"),
+            labels = emptyList(),
+            capacity = Resources.NONE,
+        )
     private val executor = FakeExecutor()
     private var now = 0L
-    private val observer = CrashObserver(executor) { now }
+    private val observer = CrashObserver(executor, clock = { now }, epochClock = { 9_000 })
 
     @Test
     fun `a crash reports the runs that were there and the time of their start`() =
@@ -38,7 +55,7 @@
             start(run(1), ExecutorFailure.NoAnswer("reset").left(), at = 990)
             lose(at = 1_000)
             now = 4_000
-            val crash = observer.takeCrash(incarnation, epochMillis = 9_000)
+            val crash = crash()
             expectThat(crash.crashedAtEpochMillis).isEqualTo(6_000)
             expectThat(crash.runs.associate { it.run to crash.ageMillis(it) })
                 .isEqualTo(mapOf(run(0) to 900, run(1) to 10))
@@ -53,7 +70,7 @@
             poll(at = 500)
             lose(at = 1_000)
             start(run(2), ExecutorFailure.Refused("not connected").left(), at = 1_100)
-            expectThat(observer.takeCrash(incarnation, epochMillis = 9_000).runs).isEmpty()
+            expectThat(crash().runs).isEmpty()
         }
 
     @Test
@@ -64,10 +81,23 @@
             lose(at = 200)
             executor.snapshot = snapshot(emptyList(), startedAtEpochMillis = 8).right()
             observer.poll(context, 0, 0)
-            expectThat(observer.takeCrash(incarnation, epochMillis = 9_000).runs.map { it.run })
+            expectThat(crash().runs.map { it.run })
                 .isEqualTo(listOf(run(0)))
         }
 
+    @Test
+    fun `an executor that had announced its end has not crashed`() =
+        runTest {
+            start(run(0), StartOutcome.STARTED.right(), at = 100)
+            expectThat(observer.replaced(description.copy(isDraining = true))).isFalse()
+            expectThat(observer.crashes).isEmpty()
+        }
+
+    private fun crash(): ExecutorCrash {
+        expectThat(observer.replaced(description)).isTrue()
+        return observer.crashes.single()
+    }
+
     private fun run(index: Int) = TaskRun(TaskKey(JobId("job"), 0, 0, index), 1)
 
     private suspend fun start(
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -23,6 +23,24 @@
     /** Reason of the last stop command for the run, or null. */
     internal var stopReason: StopReason? = null
 
+    /** When the host first listed the run, or null. */
+    internal var listedSince: Timestamp? = null
+
+    /** When the host last listed the run, or null. */
+    internal var listedAt: Timestamp? = null
+
+    /** How long the run has been seen on the host. */
+    internal val listedMillis: Long
+        get() = listedSince?.let { since -> listedAt?.millisSince(since) } ?: 0
+
+    /** True if the run has lasted long enough to show that it does not crash the executor. */
+    internal val isProven: Boolean
+        get() = listedSince != null && listedMillis >= task.crashHistory.trialMillis
+
+    /** True while the run shows whether its task, under which an executor has crashed, crashes the next one too. */
+    internal val isOnTrial: Boolean
+        get() = task.crashHistory.isSuspect && !isProven
+
     /** The last reported status of the run, or null. */
     public var lastStatus: RunStatus? = null
         internal set
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -10,7 +10,9 @@
     private val state: SchedulerState,
     private val transitions: RunTransitions,
 ) {
-    private val reportHandler = HostReportHandler(state, transitions)
+    private val suspectRuns = SuspectRuns(state, transitions)
+    private val crashAttribution = CrashAttribution(state, transitions, suspectRuns)
+    private val reportHandler = HostReportHandler(state, transitions, suspectRuns)
 
     /** Handles the connection of the agent of the host in [description]. */
     public fun connected(
@@ -21,19 +23,13 @@
         val host = state.hosts.connect(description)
         earlier.forEach {
             if (it.incarnation.executor == description.incarnation.executor) adoptUnconfirmed(it, host, moment)
-            incarnationEnded(it.incarnation, endOf(it, description), moment)
+            incarnationEnded(it.incarnation, description.endOf(it.incarnation), moment)
         }
         state.effects.logDecision(
             Decision("host_connected", host = description.incarnation, detail = description.pool.value),
         )
-    }
-
-    private fun endOf(
-        earlier: Host,
-        later: HostDescription,
-    ): IncarnationEnd {
-        val hasCrashed = later.crashes.any { it.incarnation == earlier.incarnation }
-        return if (hasCrashed) IncarnationEnd.CRASHED else IncarnationEnd.UNOBSERVED
+        crashAttribution.count(description, moment)
+        suspectRuns.stopAdopted(host, moment)
     }
 
     /**
@@ -64,6 +60,7 @@
         val host = state.hosts[description.incarnation] ?: return connected(description, moment)
         val startsDraining = description.isDraining && !host.description.isDraining
         host.description = description
+        crashAttribution.count(description, moment)
         if (startsDraining) {
             state.effects.logDecision(Decision("host_drains", host = description.incarnation))
             host.runs.values
@@ -84,8 +81,23 @@
         moment: Moment,
     ) {
         val host = state.hosts[incarnation] ?: return
-        if (host.silentSince == null) state.effects.logDecision(Decision("host_silent", host = incarnation))
-        host.silentSince = host.silentSince ?: moment.now
+        if (host.silentSince != null) return
+        host.silentSince = moment.now
+        val jobs = host.runs.keys.mapTo(HashSet()) { it.job }
+        val isExplained = host.runs.values.any { it.isOnTrial }
+        val outage =
+            host.description.run {
+                HostOutage(
+                    incarnation,
+                    rack,
+                    failureDomain,
+                    moment.now,
+                    jobs,
+                    isExplained,
+                )
+            }
+        state.outages.record(outage, moment.now)
+        state.effects.logDecision(Decision("host_silent", host = incarnation))
     }
 
     /** Handles the end of an incarnation of a host, which ends all its runs. */
@@ -115,6 +127,7 @@
     ): Long? {
         val host = state.hosts[report.incarnation]?.takeIf { it.isConnected } ?: return null
         host.lastReportAt = moment.now
+        if (host.silentSince != null) state.outages.remove(host.incarnation)
         host.silentSince = null
         reportHandler.handle(host, report, moment)
         return if (mayExtendLease) state.hosts.extendLease(host, report.clockMillis, moment.now) else null
@@ -158,6 +171,7 @@
             state.effects.logDecision(
                 Decision("lease_lapsed", host = host.incarnation, detail = "${host.runs.size} runs"),
             )
+            suspectRuns.leaseExpired(host, now)
             host.runs.values
                 .toList()
                 .forEach { transitions.release(host, it, "the lease expired") }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReport.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReport.kt
@@ -24,7 +24,11 @@
     val isDraining: Boolean = false,
     /** Latest crashes of executors on the host, oldest first; repeated in every description. */
     val crashes: List<ExecutorCrash> = emptyList(),
-)
+) {
+    /** How the incarnation [earlier] of the same host ended. */
+    internal fun endOf(earlier: HostIncarnation): IncarnationEnd =
+        if (crashes.any { it.incarnation == earlier }) IncarnationEnd.CRASHED else IncarnationEnd.UNOBSERVED
+}
 
 /** How an incarnation of a host ended. */
 public enum class IncarnationEnd {
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReportHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReportHandler.kt
@@ -8,6 +8,7 @@
 internal class HostReportHandler(
     private val state: SchedulerState,
     private val transitions: RunTransitions,
+    private val suspectRuns: SuspectRuns,
 ) {
     /** Updates the state of [host] and its runs from [report]. */
     fun handle(
@@ -49,6 +50,9 @@
             if (placed.lastStatus == null) adoptSpeed(placed, status)
             placed.isConfirmed = true
             placed.lastStatus = status
+            placed.listedSince = placed.listedSince ?: moment.now
+            placed.listedAt = moment.now
+            suspectRuns.survived(placed, placed.listedMillis)
             if (isStopDue(placed, moment)) {
                 transitions.stop(host, placed, placed.stopReason ?: StopReason.JOB_ENDED, moment)
             }
@@ -99,6 +103,8 @@
         when {
             isSettled && placed.isStartExcluded -> transitions.release(host, placed, "not on the host")
             placed.isCommandSent && !isSettled -> Unit
+            placed.stopRequestedAt != null ->
+                transitions.stop(host, placed, placed.stopReason ?: StopReason.JOB_ENDED, moment)
             job == null || job.outcome != JobOutcome.ACTIVE || host.description.isDraining ->
                 transitions.stop(host, placed, StopReason.JOB_ENDED, moment)
             else -> {
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -73,7 +73,7 @@
 internal class HostScoring(
     private val state: SchedulerState,
 ) {
-    private val constraints = HostConstraints(state)
+    val constraints = HostConstraints(state)
 
     /** The hosts on which tasks may be placed at [moment], with their free capacity. */
     fun candidates(moment: Moment): List<HostCandidate> =
@@ -119,7 +119,7 @@
         isStarved: Boolean = false,
     ): HostCandidate? =
         candidates
-            .filter { constraints.isFeasible(task, siblings, it, isStarved) }
+            .filter { state.trials.allow(task, it.host) && constraints.isFeasible(task, siblings, it, isStarved) }
             .minByOrNull { score(task, siblings, it) + slownessCost(it.host, now) }
 
     private fun score(
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobRecords.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobRecords.kt
@@ -36,6 +36,13 @@
     val checkpoint: String,
 )
 
+/** Crashes of executors while the task at [position] was on them. */
+@Serializable
+internal data class TaskCrashes(
+    val position: Int,
+    val history: CrashHistory,
+)
+
 /** The changing part of a job. */
 @Serializable
 internal data class JobProgress(
@@ -44,6 +51,8 @@
     val endedAtEpochMillis: Long?,
     val hosts: List<HostIncarnation>,
     val tasks: List<TaskProgress>,
+    /** Tasks under which executors have crashed. */
+    val crashes: List<TaskCrashes> = emptyList(),
 )
 
 /** Encodes jobs as records and decodes them. */
@@ -88,7 +97,11 @@
                     checkpoint = if (task.state == TaskState.Done) "" else task.checkpoint,
                 ).takeIf { task.lastRun > 0 }
             }
-        return JobProgress(job.outcome, job.hasBegun, job.endedAtEpochMillis, hosts, tasks)
+        val crashes =
+            job.tasks.mapIndexedNotNull { position, task ->
+                TaskCrashes(position, task.crashHistory).takeIf { task.crashHistory != CrashHistory() }
+            }
+        return JobProgress(job.outcome, job.hasBegun, job.endedAtEpochMillis, hosts, tasks, crashes)
     }
 
     private fun restore(
@@ -98,6 +111,7 @@
         job.outcome = progress.outcome
         job.hasBegun = progress.hasBegun
         job.endedAtEpochMillis = progress.endedAtEpochMillis
+        progress.crashes.forEach { job.tasks[it.position].crashHistory = it.history }
         progress.tasks.forEach { stored ->
             val task = job.tasks[stored.position]
             task.lastRun = stored.run
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobTask.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobTask.kt
@@ -3,6 +3,8 @@
  */
 package org.greengagepass.core.process.jobs
 
+import org.greengagepass.core.Timestamp
+
 /** State of a task. */
 public sealed class TaskState {
     /** The task has no run and waits to be placed. */
@@ -38,6 +40,12 @@
     public var checkpoint: String = ""
         internal set
 
+    /** Crashes of executors while the task was on them. */
+    internal var crashHistory: CrashHistory = CrashHistory()
+
+    /** Time before which the task is not started again, or null. */
+    internal var heldUntil: Timestamp? = null
+
     /** True if the task was moved off a slow host; it is not moved for that reason again. */
     internal var wasMoved: Boolean = false
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
@@ -89,6 +89,9 @@
         moment: Moment,
     ) {
         state.jobs.markChanged(job)
+        if (end.outcome == RunOutcome.DONE || end.outcome == RunOutcome.FAILED) {
+            task.crashHistory = task.crashHistory.cleared()
+        }
         if (end.checkpoint.isNotEmpty()) task.checkpoint = end.checkpoint
         task.state = TaskState.Waiting
         when (end.outcome) {
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -35,6 +35,18 @@
     /** Failures on the hosts. */
     public val reliability: HostReliability = HostReliability()
 
+    /** Recent outages of hosts. */
+    internal val outages: HostOutages = HostOutages()
+
+    /** Active jobs that may have tasks under which an executor has crashed. */
+    internal val suspectJobs: MutableSet<JobId> =
+        jobs.active.values
+            .filter { job -> job.tasks.any { it.crashHistory.isSuspect } }
+            .mapTo(LinkedHashSet()) { it.id }
+
+    /** Hosts that are set aside for such tasks. */
+    internal val trials: TrialHosts = TrialHosts(this)
+
     /** Effects of best-effort tasks on serving tasks. */
     public val interference: InterferenceEstimates = InterferenceEstimates(storedRecords, leadershipStartedAt)
 
@@ -58,6 +70,7 @@
         moment: Moment,
     ): Boolean =
         host.isResponsive(moment.now) &&
+            host.silentSince == null &&
             !host.description.isDraining &&
             host.leaseUntilHostClock > 0 &&
             moment.now >= host.pausedUntil &&
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
@@ -20,9 +20,11 @@
         if (candidates.isEmpty()) return
         val unplaceable = HashSet<PlacementClass>()
         val order = PlacementOrder(moment.epochMillis)
-        state.jobs.active.values
-            .sortedBy { order.rank(it, state.queueOf(it).priority) }
-            .forEach { placeJob(it, candidates, unplaceable, moment) }
+        val jobs =
+            state.jobs.active.values
+                .sortedBy { order.rank(it, state.queueOf(it).priority) }
+        state.trials.reserve(jobs, candidates, scoring.constraints, moment.now)
+        jobs.forEach { placeJob(it, candidates, unplaceable, moment) }
     }
 
     private fun placeJob(
@@ -55,11 +57,17 @@
         moment: Moment,
     ) {
         val step = tasks.first().step
+        val (suspects, others) = tasks.filter { it.state == TaskState.Waiting }.partition { it.crashHistory.isSuspect }
+        val trial = PlacementOptions(poolCandidates, moment, isStarved = true)
+        suspects.filter { (it.heldUntil ?: moment.now) <= moment.now }.forEach { placeOne(job, it, tasks, trial) }
         placeStarved(job, tasks, poolCandidates, moment)
         val placementClass = PlacementClass(state.queueOf(job).pool.value, step.demand, step.constraints, step.sharing)
         if (placementClass in unplaceable) return
-        val waiting = tasks.filter { it.state == TaskState.Waiting }
-        val isPlaced = waiting.all { placeOne(job, it, tasks, PlacementOptions(poolCandidates, moment)) }
+        val isPlaced =
+            others
+                .filter {
+                    it.state == TaskState.Waiting
+                }.all { placeOne(job, it, tasks, PlacementOptions(poolCandidates, moment)) }
         if (!isPlaced && step.constraints.tasksPerHostMaximum == null) unplaceable += placementClass
     }
 
@@ -77,7 +85,7 @@
         val since = job.idleSince ?: moment.now.also { job.idleSince = it }
         if (moment.now.millisSince(since) < STARVATION_MILLIS) return
         tasks
-            .firstOrNull { it.state == TaskState.Waiting }
+            .firstOrNull { it.state == TaskState.Waiting && !it.crashHistory.isSuspect }
             ?.let { placeOne(job, it, tasks, PlacementOptions(poolCandidates, moment, isStarved = true)) }
     }
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/ThrottledRunMover.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/ThrottledRunMover.kt
@@ -53,6 +53,7 @@
         }
         val since = placed.throttledSince ?: now.also { placed.throttledSince = it }
         return isMovable(placed.task.step) &&
+            !placed.task.crashHistory.isSuspect &&
             placed.task.interferenceMoves < MOVES_MAXIMUM &&
             now.millisSince(since) >= THROTTLED_MILLIS
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
@@ -0,0 +1,121 @@
+/*
+ * Hosts that are set aside for suspects: tasks under which an executor has crashed. A host on trial takes the suspects
+ * of one job and no other task until they have lasted for their trial, so that a second crash has one job to blame.
+ * Runs that are proven not to crash their executor stay there.
+ */
+package org.greengagepass.core.process.jobs
+
+import org.greengagepass.core.Timestamp
+
+/** Hosts of [state] that are set aside. */
+internal class TrialHosts(
+    private val state: SchedulerState,
+) {
+    private val jobsByHost = LinkedHashMap<HostIncarnation, JobId>()
+
+    /** Sets hosts among [candidates] aside for the waiting suspects of [jobs], in their order. */
+    fun reserve(
+        jobs: List<Job>,
+        candidates: List<HostCandidate>,
+        constraints: HostConstraints,
+        now: Timestamp,
+    ) {
+        val suspects =
+            jobs
+                .filter { it.id in state.suspectJobs }
+                .associateWith { job -> job.tasks.filter { it.crashHistory.isSuspect } }
+        state.suspectJobs.retainAll(suspects.filterValues { it.isNotEmpty() }.keys.mapTo(HashSet()) { it.id })
+        val byIncarnation = candidates.associateBy { it.host.incarnation }
+        val waiting = suspects.mapValues { (_, tasks) -> tasks.filter { isWaiting(it, now) } }
+        jobsByHost.entries.removeIf { (host, id) ->
+            val candidate = byIncarnation[host]
+            val tasks = state.jobs[id]?.let { waiting[it] }.orEmpty()
+            candidate == null ||
+                (!hasSuspectOf(candidate.host, id) && tasks.none { mayTry(it, candidate, constraints) })
+        }
+        waiting.filterValues { it.isNotEmpty() }.forEach { (job, tasks) ->
+            if (job.id !in jobsByHost.values) reserveFor(job, tasks, candidates, constraints)
+        }
+    }
+
+    private fun reserveFor(
+        job: Job,
+        tasks: List<JobTask>,
+        candidates: List<HostCandidate>,
+        constraints: HostConstraints,
+    ) {
+        val pool = candidates.filter { it.host.description.pool == state.queueOf(job).pool }
+        val limit = maxOf(1, pool.size / POOL_DIVISOR)
+        if (pool.count { it.host.incarnation in jobsByHost } >= limit) return
+        val free = pool.filter { it.host.incarnation !in jobsByHost && suspectJob(it.host) == null }
+        val chosen =
+            free
+                .filter { candidate -> tasks.any { mayTry(it, candidate, constraints) } }
+                .minWithOrNull(
+                    compareBy(
+                        { state.outages.countOf(it.host.incarnation.host) >= REPEATED_OUTAGES },
+                        {
+                            it.host.runs.values
+                                .any { placed -> !placed.isProven }
+                        },
+                        { it.host.runs.size },
+                    ),
+                ) ?: return
+        jobsByHost[chosen.host.incarnation] = job.id
+    }
+
+    /** True if [task] may be placed on [host] as far as trials are concerned. */
+    fun allow(
+        task: JobTask,
+        host: Host,
+    ): Boolean {
+        if (state.suspectJobs.isEmpty() && jobsByHost.isEmpty()) return true
+        val reservedFor = jobsByHost[host.incarnation] ?: suspectJob(host)
+        val isSuspect = task.crashHistory.isSuspect
+        return when {
+            reservedFor != null -> isSuspect && task.key.job == reservedFor && hasOnlySuspectsOf(host, reservedFor)
+            // The members of a gang run on several hosts at once, more than one of which may never be set aside.
+            isSuspect -> task.step.coordination == StepCoordination.GANG && host.runs.values.all { it.isProven }
+            else -> true
+        }
+    }
+
+    private fun isWaiting(
+        task: JobTask,
+        now: Timestamp,
+    ): Boolean = task.state == TaskState.Waiting && (task.heldUntil ?: now) <= now
+
+    private fun mayTry(
+        task: JobTask,
+        candidate: HostCandidate,
+        constraints: HostConstraints,
+    ): Boolean {
+        val siblings = state.jobs[task.key.job]?.tasksOf(task.key.occurrence, task.key.step).orEmpty()
+        return constraints.isFeasible(task, siblings, candidate, isStarved = true)
+    }
+
+    private fun suspectJob(host: Host): JobId? =
+        host.runs.values
+            .firstOrNull { it.isOnTrial }
+            ?.run
+            ?.task
+            ?.job
+
+    private fun hasSuspectOf(
+        host: Host,
+        job: JobId,
+    ): Boolean = host.runs.values.any { it.isOnTrial && it.run.task.job == job }
+
+    private fun hasOnlySuspectsOf(
+        host: Host,
+        job: JobId,
+    ): Boolean = host.runs.values.all { it.isProven || (it.isOnTrial && it.run.task.job == job) }
+
+    private companion object {
+        /** At most a third of a pool, so that other tasks keep starting. */
+        private const val POOL_DIVISOR = 3
+
+        /** A host that went down more than once recently may fail for reasons of its own. */
+        private const val REPEATED_OUTAGES = 2
+    }
+}
