Withdraw starts that a host has no capacity for any more

An executor that doesn't check its capacity would carry out a start that arrives, or is repeated after a reconnection, when its capacity has shrunk (LIMIT). Starts in flight and runs that are being stopped were counted already for new tasks; a start that was sent before the capacity shrank, and one repeated for a run that the host doesn't list, were not checked.

The latest unconfirmed starts are now ruled out by a stop as far as the runs exceed the new capacity, and a start is not repeated without capacity.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -10,9 +10,10 @@
     private val state: SchedulerState,
     private val transitions: RunTransitions,
 ) {
+    private val capacityGuard = CapacityGuard(transitions)
     private val suspectRuns = SuspectRuns(state, transitions)
     private val crashAttribution = CrashAttribution(state, transitions, suspectRuns)
-    private val reportHandler = HostReportHandler(state, transitions, suspectRuns)
+    private val reportHandler = HostReportHandler(state, transitions, suspectRuns, capacityGuard)
 
     /** Handles the connection of the agent of the host in [description]. */
     public fun connected(
@@ -30,6 +31,7 @@
         )
         crashAttribution.count(description, moment)
         suspectRuns.stopAdopted(host, moment)
+        capacityGuard.withdrawStarts(host, moment)
     }
 
     /**
@@ -60,6 +62,7 @@
         val host = state.hosts[description.incarnation] ?: return connected(description, moment)
         val startsDraining = description.isDraining && !host.description.isDraining
         host.description = description
+        capacityGuard.withdrawStarts(host, moment)
         crashAttribution.count(description, moment)
         if (startsDraining) {
             state.effects.logDecision(Decision("host_drains", host = description.incarnation))
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReportHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReportHandler.kt
@@ -9,6 +9,7 @@
     private val state: SchedulerState,
     private val transitions: RunTransitions,
     private val suspectRuns: SuspectRuns,
+    private val capacityGuard: CapacityGuard,
 ) {
     /** Updates the state of [host] and its runs from [report]. */
     fun handle(
@@ -107,6 +108,7 @@
                 transitions.stop(host, placed, placed.stopReason ?: StopReason.JOB_ENDED, moment)
             job == null || job.outcome != JobOutcome.ACTIVE || host.description.isDraining ->
                 transitions.stop(host, placed, StopReason.JOB_ENDED, moment)
+            !capacityGuard.hasCapacity(host) -> transitions.stop(host, placed, StopReason.NO_CAPACITY, moment)
             else -> {
                 placed.settledAfterPoll = Long.MAX_VALUE
                 transitions.sendStart(job, host, placed)
