Ignore reported runs that were never placed; test silence, repeated reports and the shown state of crashing tasks

A report with a run number beyond the task's last one would have hidden the later crashes of that task. CrashingTaskTest has four more tests: a crash that several leaders hear of counts once; executors that are silent, or whose lease expires, are not crashes; runs that do not exist change nothing; a job that is given up is shown as failed once that is stored, and its other runs are stopped. The first, second and fourth passed on the code as it was.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/CrashAttribution.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/CrashAttribution.kt
@@ -100,12 +100,13 @@
         return state.outages.commonCause(state.outages.record(outage, moment.now), state.hosts.all())
     }
 
+    /** The task of [atCrash], or null if its job is not active or the run was never placed. */
     private fun affectedTask(
         atCrash: RunAtCrash,
         crash: ExecutorCrash,
     ): AffectedTask? {
         val job = state.jobs.active[atCrash.run.task.job]
-        val task = job?.task(atCrash.run.task) ?: return null
+        val task = job?.task(atCrash.run.task)?.takeIf { atCrash.run.number in 1..it.lastRun } ?: return null
         return AffectedTask(job, task, atCrash.run, crash.ageMillis(atCrash), isYoung(atCrash, crash))
     }
 
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
@@ -82,13 +82,99 @@
         expectThat(harness.visibleStatus("innocent")).isEqualTo(JobStatus.IN_PROGRESS)
     }
 
+    @Test
+    fun `a crash that is reported to several leaders counts once`() {
+        // Guards against giving up a task for one crash because agents repeat their reports.
+        val run = harness.startOn(description(hosts[0]), step())
+        val crashed = crashOf(hosts[0], at = 30, run to 10)
+        val replaced = description(incarnation("host-0", number = 2)).copy(crashes = listOf(crashed))
+        harness.connect(replaced, 3_000)
+        harness.effects(3_010)
+        var leader = harness
+        repeat(3) { number ->
+            leader = leader.successor(startedAt = 3_100L + number)
+            leader.connect(replaced, 3_200L + number)
+            leader.effects(3_300L + number)
+        }
+        expectThat(leader.visibleStatus("job")).isEqualTo(JobStatus.IN_PROGRESS)
+    }
+
+    @Test
+    fun `a task is not given up for executors that were only silent`() {
+        // Guards against taking a host that does not answer, or whose lease expired, for one that has crashed.
+        harness.connect(description(hosts[0]), 0)
+        harness.connect(description(hosts[1]), 0)
+        harness.submit("job", specification(step()), 0)
+        var now = 10L
+        repeat(6) {
+            val start = harness.starts(now).single()
+            harness.scheduler.hosts.silent(start.host, moment(now + 20))
+            now += SETTINGS.leaseBoundMillis + 10_000
+            harness.effects(now)
+            now += 6_000
+            hosts.take(2).forEach { harness.report(it, now + 10) }
+            now += 20
+        }
+        expectThat(harness.visibleStatus("job")).isEqualTo(JobStatus.IN_PROGRESS)
+    }
+
+    @Test
+    fun `a report of a crash with runs that do not exist changes nothing`() {
+        // Guards against a malformed report that hides later crashes of a task, or blames it for runs it never had.
+        val run = harness.startOn(description(hosts[0]), step())
+        val runs =
+            listOf(run.copy(number = Int.MAX_VALUE), run.copy(number = -1), run.copy(task = run.task.copy(index = 9)))
+        val crash = crashOf(hosts[0], at = 30, *runs.map { it to Long.MAX_VALUE }.toTypedArray())
+        harness.scheduler.hosts.descriptionChanged(description(hosts[0]).copy(crashes = listOf(crash)), moment(40))
+        harness.connect(description(hosts[1]).copy(crashes = List(9) { crash }), 50)
+        harness.report(hosts[0], 60, running = listOf(running(run)))
+        harness.effects(70)
+        expectThat(harness.visibleStatus("job")).isEqualTo(JobStatus.IN_PROGRESS)
+        expectThat(
+            harness.scheduler.state.jobs[JobId("job")]
+                ?.task(run.task)
+                ?.crashHistory,
+        ).isEqualTo(CrashHistory())
+    }
+
+    @Test
+    fun `a job is shown as failed only once that is stored, and its other runs are stopped`() {
+        hosts.take(2).forEach { harness.connect(description(it), 0) }
+        val spread = step(taskCount = 2, constraints = StepConstraints(tasksPerHostMaximum = 1))
+        harness.submit("job", specification(spread), 0)
+        val (crashing, other) = harness.starts(10).sortedBy { it.host.host.value }
+        val task = crashing.command.run.task
+        harness.scheduler.state.jobs[task.job]
+            ?.task(task)
+            ?.crashHistory = CrashHistory(suspicions = 1)
+        val crash = crashOf(hosts[0], at = 30, crashing.command.run to 10)
+        harness.scheduler.hosts.connected(
+            description(incarnation("host-0", number = 2)).copy(crashes = listOf(crash)),
+            moment(3_030),
+        )
+        expectThat(
+            harness.scheduler.state.jobs[task.job]
+                ?.outcome,
+        ).isEqualTo(JobOutcome.FAILED)
+        expectThat(harness.visibleStatus("job")).isEqualTo(JobStatus.IN_PROGRESS)
+        val stops = harness.effects(3_040).filterIsInstance<SchedulerEffect.Stop>()
+        expectThat(harness.visibleStatus("job")).isEqualTo(JobStatus.FAILED)
+        expectThat(stops.map { it.host to it.run }).isEqualTo(listOf(other.host to other.command.run))
+    }
+
+    private fun crashOf(
+        incarnation: HostIncarnation,
+        at: Long,
+        vararg runs: Pair<TaskRun, Long>,
+    ) = ExecutorCrash(incarnation, at, moment(at).epochMillis, runs.map { RunAtCrash(it.first, it.second) })
+
     /** Replaces [incarnation], which crashed with [runs], each with the time of its start. */
     private fun crash(
         incarnation: HostIncarnation,
         at: Long,
         vararg runs: Pair<TaskRun, Long>,
     ) {
-        val crash = ExecutorCrash(incarnation, at, moment(at).epochMillis, runs.map { RunAtCrash(it.first, it.second) })
+        val crash = crashOf(incarnation, at, *runs)
         val next = incarnation(incarnation.host.value, incarnation.startedAtEpochMillis + 1)
         hosts.filter { it != incarnation }.forEach { harness.report(it, at + 3_000) }
         harness.connect(description(next).copy(crashes = listOf(crash)), at + 3_000)
