--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashSimulation.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashSimulation.kt
@@ -13,8 +13,9 @@
 
 /** Faults of one history. */
 internal data class CrashFaults(
-    val deadlyShare: Double = 0.0,
-    /** Time from the start of a deadly task to the crash. */
+    /** Share of the jobs whose first task crashes every executor that starts it. */
+    val crashingShare: Double = 0.0,
+    /** Time from the start of such a task to the crash. */
     val crashAfterMillis: Long = 10,
     val rackOutageEveryMillis: Long? = null,
     val hostOutageEveryMillis: Long? = null,
@@ -32,10 +33,10 @@
     private var harness = SchedulerHarness()
     private var now = 0L
     private var submitted = 0
-    private val deadlyJobs = HashSet<JobId>()
+    private val crashingJobs = HashSet<JobId>()
 
-    /** Starts of each deadly task, and how many of them came after its third crash. */
-    val startsOfDeadlyTasks = HashMap<TaskKey, Int>()
+    /** Number of starts of each task that crashes its executors. */
+    val startsOfCrashingTasks = HashMap<TaskKey, Int>()
     val violations = ArrayList<String>()
 
     /** Jobs that were given up although none of their tasks crashes executors. */
@@ -61,7 +62,7 @@
         if (random.nextInt(25) != 0) return
         submitted += 1
         val id = JobId("job-$submitted")
-        if (random.nextDouble() < faults.deadlyShare) deadlyJobs += id
+        if (random.nextDouble() < faults.crashingShare) crashingJobs += id
         harness.submit(id.value, specification(step(taskCount = random.nextInt(1, 13), milliCores = 250)), now)
     }
 
@@ -92,13 +93,13 @@
     }
 
     private fun advance(host: CrashingHost) {
-        val deadly =
+        val crashing =
             host.running.keys.firstOrNull {
-                isDeadly(
+                crashesExecutors(
                     it.task,
                 ) && host.ageOf(it, now) >= faults.crashAfterMillis
             }
-        if (deadly != null) return crash(host)
+        if (crashing != null) return crash(host)
         host.endDue(now)
         if (now >= host.nextReportAt || host.hasNewEnds) {
             host.nextReportAt = now + 400
@@ -106,8 +107,8 @@
         }
     }
 
-    /** The first task of a job that is deadly crashes its executors. */
-    private fun isDeadly(task: TaskKey): Boolean = task.job in deadlyJobs && task.index == 0
+    /** The first task of such a job crashes every executor that starts it. */
+    private fun crashesExecutors(task: TaskKey): Boolean = task.job in crashingJobs && task.index == 0
 
     private fun perform(effect: SchedulerEffect) {
         when (effect) {
@@ -123,7 +124,7 @@
         val run = effect.command.run
         if (run in host.running) return
         host.running[run] = now to now + random.nextLong(200, 3_000)
-        if (isDeadly(run.task)) startsOfDeadlyTasks.merge(run.task, 1, Int::plus)
+        if (crashesExecutors(run.task)) startsOfCrashingTasks.merge(run.task, 1, Int::plus)
         harness.scheduler.hosts.startAnswered(
             StartResult(host.incarnation, run, StartOutcome.STARTED, pollNumber = Long.MAX_VALUE),
             moment(now),
@@ -138,8 +139,8 @@
 
     private fun checkJobs() {
         StoredJobs.decode(harness.stored.values.toList()).forEach { job ->
-            if (job.outcome == JobOutcome.FAILED && job.id !in deadlyJobs) givenUpInnocents += job.id
-            val expected = if (job.id in deadlyJobs) JobOutcome.FAILED else JobOutcome.COMPLETED
+            if (job.outcome == JobOutcome.FAILED && job.id !in crashingJobs) givenUpInnocents += job.id
+            val expected = if (job.id in crashingJobs) JobOutcome.FAILED else JobOutcome.COMPLETED
             if (job.outcome != expected) violations += "${job.id.value} is ${job.outcome}, expected $expected"
         }
     }
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
@@ -16,41 +16,25 @@
 
     @Test
     fun `a task that crashes its executors is not started three times after three crashes`() {
-        repeat(HISTORIES) { number ->
-            val simulation = CrashSimulation(Random(SEED + number), CrashFaults(deadlyShare = 0.1)).run(RUN_MILLIS)
-            expectThat(simulation.startsOfDeadlyTasks.values).isNotEmpty().all { isLessThanOrEqualTo(STARTS_MAXIMUM) }
-            expectThat(simulation.violations).isEmpty()
-        }
+        expectFewStarts(CrashFaults(crashingShare = 0.1)) { expectThat(it.violations).isEmpty() }
     }
 
     @Test
     fun `the crashes of a task are not forgotten when leaders are replaced`() {
-        repeat(HISTORIES) { number ->
-            val faults = CrashFaults(deadlyShare = 0.1, leaderChangeEveryMillis = 1_500)
-            val simulation = CrashSimulation(Random(SEED + number), faults).run(RUN_MILLIS)
-            expectThat(simulation.startsOfDeadlyTasks.values).isNotEmpty().all { isLessThanOrEqualTo(STARTS_MAXIMUM) }
-            expectThat(simulation.violations).isEmpty()
-        }
+        val faults = CrashFaults(crashingShare = 0.1, leaderChangeEveryMillis = 1_500)
+        expectFewStarts(faults) { expectThat(it.violations).isEmpty() }
     }
 
     @Test
     fun `a task that crashes its executors after a while is given up too`() {
-        repeat(HISTORIES) { number ->
-            val faults = CrashFaults(deadlyShare = 0.1, crashAfterMillis = 1_500)
-            val simulation = CrashSimulation(Random(SEED + number), faults).run(RUN_MILLIS)
-            expectThat(simulation.startsOfDeadlyTasks.values).isNotEmpty().all { isLessThanOrEqualTo(STARTS_MAXIMUM) }
-            expectThat(simulation.givenUpInnocents).isEmpty()
-        }
+        val faults = CrashFaults(crashingShare = 0.1, crashAfterMillis = 1_500)
+        expectFewStarts(faults) { expectThat(it.givenUpInnocents).isEmpty() }
     }
 
     @Test
     fun `executors that stay down for longer than their lease do not hide the crashes of a task`() {
-        repeat(HISTORIES) { number ->
-            val faults = CrashFaults(deadlyShare = 0.1, downMillis = 8_000)
-            val simulation = CrashSimulation(Random(SEED + number), faults).run(RUN_MILLIS)
-            expectThat(simulation.startsOfDeadlyTasks.values).isNotEmpty().all { isLessThanOrEqualTo(STARTS_MAXIMUM) }
-            expectThat(simulation.violations).isEmpty()
-        }
+        val faults = CrashFaults(crashingShare = 0.1, downMillis = 8_000)
+        expectFewStarts(faults) { expectThat(it.violations).isEmpty() }
     }
 
     @Test
@@ -66,19 +50,19 @@
     @Test
     fun `among tasks that started together the second crash gives up the one that causes it`() {
         harness.connect(description(hosts.first()), 0)
-        harness.submit("deadly", specification(step()), 0)
+        harness.submit("crashing", specification(step()), 0)
         harness.submit("innocent", specification(step()), 0)
         val runs = harness.starts(10).associate { it.command.run.task.job to (it.host to it.command.run) }
-        val (host, deadly) = runs.getValue(JobId("deadly"))
+        val (host, crashing) = runs.getValue(JobId("crashing"))
         val innocent = runs.getValue(JobId("innocent")).second
         hosts.drop(1).forEach { harness.connect(description(it), 20) }
-        crash(host, at = 30, deadly to 10, innocent to 10)
+        crash(host, at = 30, crashing to 10, innocent to 10)
         val retries = harness.starts(3_040)
         expectThat(retries.map { it.host }.toSet().size).isEqualTo(2)
-        val retry = retries.single { it.command.run.task.job == JobId("deadly") }
+        val retry = retries.single { it.command.run.task.job == JobId("crashing") }
         crash(retry.host, at = 3_060, retry.command.run to 3_050)
         expectThat(harness.starts(6_080)).isEmpty()
-        expectThat(harness.visibleStatus("deadly")).isEqualTo(JobStatus.FAILED)
+        expectThat(harness.visibleStatus("crashing")).isEqualTo(JobStatus.FAILED)
         expectThat(harness.visibleStatus("innocent")).isEqualTo(JobStatus.IN_PROGRESS)
     }
 
@@ -162,6 +146,16 @@
         expectThat(stops.map { it.host to it.run }).isEqualTo(listOf(other.host to other.command.run))
     }
 
+    /** Runs the histories with [faults], in which no task may be started too often, and checks each by [check]. */
+    private fun expectFewStarts(
+        faults: CrashFaults,
+        check: (CrashSimulation) -> Unit,
+    ) = repeat(HISTORIES) { number ->
+        val simulation = CrashSimulation(Random(SEED + number), faults).run(RUN_MILLIS)
+        expectThat(simulation.startsOfCrashingTasks.values).isNotEmpty().all { isLessThanOrEqualTo(STARTS_MAXIMUM) }
+        check(simulation)
+    }
+
     private fun crashOf(
         incarnation: HostIncarnation,
         at: Long,
