Bind each connection to an executor to one incarnation

Cause: a call was addressed by the executor's name and bounded by a reading of the executor's clock. Both mean something else after a restart under the same name, where the clock starts anew, and the agent learns of the restart by the first heartbeat only. Any call that an agent repeats or sends in that time could reach the wrong incarnation: a poll would have extended its lease by a reading of the old clock, and would have acknowledged ends that nobody had seen.

Change: before the first call over a connection, the agent asks which incarnation responds there, by a poll without a lease and without an acknowledgement. A connection ends with the process that accepted it, so later calls over it reach that incarnation or none. A later incarnation proves that the intended one has ended, so that its runs are placed again without a wait. The JDK's client can't keep calls on one connection; the connection uses Ktor's sockets and HTTP parser, which the programs already load.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
@@ -3,6 +3,7 @@
  */
 package org.greengagepass.agent.process.jobs
 
+import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
@@ -30,7 +31,8 @@
     private val settings: PlatformSettings,
 ) : AnnouncementListener {
     private val thread = Executors.newSingleThreadExecutor { Thread(it, "agent") }
-    private val selectorThread = Executors.newSingleThreadExecutor { Thread(it, "selector") }
+    private val selector =
+        SelectorManager(Executors.newSingleThreadExecutor { Thread(it, "selector") }.asCoroutineDispatcher())
     private val scope = CoroutineScope(SupervisorJob() + thread.asCoroutineDispatcher())
     private val http = platformHttpClient(thread)
     private val metrics = HostMetrics()
@@ -40,7 +42,8 @@
         }
     private val executor =
         HttpExecutorClient(
-            PlatformClient(http, requireNotNull(settings.executorAddress) { "the settings have no executor address" }),
+            selector,
+            requireNotNull(settings.executorAddress) { "the settings have no executor address" },
         )
     private val supervisor = HostSupervisor(executor, directory, settings.seedAddresses, scope, metrics)
     private val announcements =
@@ -50,7 +53,7 @@
             listener = this,
             metrics = metrics::text,
         )
-    private val dialer = SchedulerDialer(FrameConnector(selectorThread.asCoroutineDispatcher()), scope, supervisor)
+    private val dialer = SchedulerDialer(FrameConnector(selector), scope, supervisor)
 
     /** Runs until the process ends. Tasks keep running under their lease, which the next agent extends. */
     suspend fun run() {
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FrameConnector.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FrameConnector.kt
@@ -19,11 +19,12 @@
 
 private const val PORT_MAXIMUM = 65_535
 
-/** Opens connections whose selector runs on [dispatcher]. */
+/** Opens connections through [selector]. */
 public class FrameConnector(
-    dispatcher: CoroutineDispatcher,
+    private val selector: SelectorManager,
 ) : AutoCloseable {
-    private val selector = SelectorManager(dispatcher)
+    /** Opens connections through a selector of its own, which runs on [dispatcher]. */
+    public constructor(dispatcher: CoroutineDispatcher) : this(SelectorManager(dispatcher))
 
     /** Connects to [address], in the form `host:port`, or returns why that failed within [timeoutMillis]. */
     public suspend fun <O, I> connect(
