End repeated starts when their lease has expired

An agent repeated a start without an answer as long as it followed the same leader and incarnation, also long after the lease in the command had expired, when the leader had placed the task elsewhere. Only the executor's own check of the lease stood against that. A start that a paused agent reads late is not sent either.

The log lines of failed commands now name the incarnation, the epoch, the lease and the kind of failure, which tells a repeated start from one that was sent once, and a call that was not sent from one without an answer.

CommandSenderTest: the two new tests can't be compiled on the code before, which has no such bound.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
@@ -26,6 +26,9 @@
     /** True while the epoch and the incarnation in [callContext] are those of the current lease. */
     fun isCurrent(callContext: ExecutorCallContext): Boolean
 
+    /** True if the lease in [callContext] has certainly expired. */
+    fun hasExpired(callContext: ExecutorCallContext): Boolean
+
     /** Sends [message] to the scheduler. */
     fun send(message: ToScheduler)
 }
@@ -37,7 +40,13 @@
     private val metrics: HostMetrics,
     private val context: CommandContext,
 ) {
-    private val sender = CommandSender(executor, context::isCurrent) { context.isDraining }
+    private val sender =
+        CommandSender(
+            executor = executor,
+            isCurrent = context::isCurrent,
+            isDraining = { context.isDraining },
+            hasExpired = context::hasExpired,
+        )
 
     fun start(
         message: FromScheduler.Start,
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
@@ -15,12 +15,14 @@
 
 /**
  * Sends commands to [executor] while [isCurrent] is true, that is while their scheduler is still the leader. Nothing
- * is started once the executor has announced that it is draining, since that is newer than the scheduler's view.
+ * is started once the executor has announced that it is draining, since that is newer than the scheduler's view, nor
+ * once the lease of the command [hasExpired], since the scheduler may have placed the task elsewhere.
  */
 internal class CommandSender(
     private val executor: ExecutorClient,
     private val isCurrent: (ExecutorCallContext) -> Boolean,
     private val isDraining: () -> Boolean,
+    private val hasExpired: (ExecutorCallContext) -> Boolean = { false },
 ) {
     /** Returns the outcome of [command], or null if its scheduler stops being current before the outcome is known. */
     suspend fun start(
@@ -31,16 +33,17 @@
         var outcome: StartOutcome? = null
         while (outcome == null && isCurrent(context)) {
             outcome =
-                if (isDraining()) {
-                    confirm(context, command.run, StartOutcome.UNAVAILABLE, mayHaveStarted)
-                } else {
-                    executor.start(context, command).fold(
-                        { failure ->
-                            mayHaveStarted = mayHaveStarted || failure is ExecutorFailure.NoAnswer
-                            afterFailure(command, failure)
-                        },
-                        { answered -> confirm(context, command.run, answered, mayHaveStarted) },
-                    )
+                when {
+                    isDraining() -> confirm(context, command.run, StartOutcome.UNAVAILABLE, mayHaveStarted)
+                    hasExpired(context) -> confirm(context, command.run, StartOutcome.LATE, mayHaveStarted)
+                    else ->
+                        executor.start(context, command).fold(
+                            { failure ->
+                                mayHaveStarted = mayHaveStarted || failure is ExecutorFailure.NoAnswer
+                                afterFailure(context, command, failure)
+                            },
+                            { answered -> confirm(context, command.run, answered, mayHaveStarted) },
+                        )
                 }
         }
         return outcome
@@ -56,7 +59,7 @@
             val failure = executor.stop(context, run).leftOrNull()
             isStopped = failure == null || failure is ExecutorFailure.IncarnationMismatch
             if (!isStopped) {
-                logger.info("stop of {} failed: {}", run, failure?.detail)
+                logger.info("stop of {} on {} failed: {}", run, context.incarnation, failure)
                 delay(RETRY_MILLIS)
             }
         }
@@ -64,16 +67,22 @@
     }
 
     private suspend fun afterFailure(
+        context: ExecutorCallContext,
         command: StartCommand,
         failure: ExecutorFailure,
-    ): StartOutcome? =
-        if (failure is ExecutorFailure.IncarnationMismatch) {
-            StartOutcome.UNAVAILABLE
-        } else {
-            logger.info("start of {} failed: {}", command.run, failure.detail)
-            delay(RETRY_MILLIS)
-            null
-        }
+    ): StartOutcome? {
+        logger.info(
+            "start of {} on {} in epoch {}, lease until {}, failed: {}",
+            command.run,
+            context.incarnation,
+            context.epoch.value,
+            context.leaseUntilHostClock,
+            failure,
+        )
+        if (failure is ExecutorFailure.IncarnationMismatch) return StartOutcome.UNAVAILABLE
+        delay(RETRY_MILLIS)
+        return null
+    }
 
     /** Makes [outcome] final: an earlier unanswered start may take effect after a refusal, and a stop prevents that. */
     private suspend fun confirm(
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -31,11 +31,15 @@
     private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
 ) : SchedulerConnectionListener {
     private val executor = CrashObserver(executorClient, clock)
+    private val executorClock = ExecutorClock(clock)
     private val poller =
         ExecutorPoller(
             executor = executor,
             onSilent = { connection?.send(ToScheduler.ExecutorSilent(it)) },
-            sendReport = { connection?.send(ToScheduler.Report(it)) },
+            sendReport = {
+                executorClock.update(it.incarnation, it.clockMillis)
+                connection?.send(ToScheduler.Report(it))
+            },
         )
     private val commandHandler =
         CommandHandler(
@@ -50,6 +54,10 @@
                     override fun isCurrent(callContext: ExecutorCallContext) =
                         this@HostSupervisor.isCurrent(callContext)
 
+                    override fun hasExpired(callContext: ExecutorCallContext) =
+                        callContext.leaseUntilHostClock?.let { executorClock.hasPassed(callContext.incarnation, it) }
+                            ?: false
+
                     override fun send(message: ToScheduler) {
                         connection?.send(message)
                     }
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandSenderTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandSenderTest.kt
@@ -84,6 +84,26 @@
             expectThat(executor.calls.toList()).isEqualTo(listOf("start", "stop"))
         }
 
+    @Test
+    fun `a start without an answer is not sent again after its lease has expired`() =
+        runTest {
+            // Guards against a start that takes effect once the scheduler has placed the task elsewhere.
+            val executor = FakeExecutorClient(noAnswer, noAnswer, StartOutcome.STARTED.right())
+            val sender = CommandSender(executor, { true }, { false }, { executor.calls.size >= 2 })
+            expectThat(sender.start(context, command)).isEqualTo(StartOutcome.SUPERSEDED)
+            expectThat(executor.calls.toList()).isEqualTo(listOf("start", "start", "stop"))
+        }
+
+    @Test
+    fun `a start that comes after its lease has expired is late`() =
+        runTest {
+            // Guards against starts that a paused agent reads late.
+            val executor = FakeExecutorClient(StartOutcome.STARTED.right())
+            expectThat(CommandSender(executor, { true }, { false }, { true }).start(context, command))
+                .isEqualTo(StartOutcome.LATE)
+            expectThat(executor.calls.toList()).isEqualTo(emptyList())
+        }
+
     private class FakeExecutorClient(
         vararg answers: Either<ExecutorFailure, StartOutcome>,
     ) : ExecutorClient {
