Harden the connections that are bound to one incarnation

- After an unanswered start, a later incarnation does not count as a refusal: the report of the crash comes first, so that a task that crashes its executors is not placed again before its crash is counted.

A refused connection is told from other calls that were not sent.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
@@ -40,7 +40,10 @@
                         executor.start(context, command).fold(
                             { failure ->
                                 mayHaveStarted = mayHaveStarted || failure is ExecutorFailure.NoAnswer
-                                afterFailure(context, command, failure)
+                                log(context, command, failure)
+                                // Whether the run was there at a crash is decided by the report of the crash.
+                                if (failure is ExecutorFailure.IncarnationMismatch && mayHaveStarted) return null
+                                afterFailure(failure)
                             },
                             { answered -> confirm(context, command.run, answered, mayHaveStarted) },
                         )
@@ -66,19 +69,20 @@
         return isStopped
     }
 
-    private suspend fun afterFailure(
+    private fun log(
         context: ExecutorCallContext,
         command: StartCommand,
         failure: ExecutorFailure,
-    ): StartOutcome? {
-        logger.info(
-            "start of {} on {} in epoch {}, lease until {}, failed: {}",
-            command.run,
-            context.incarnation,
-            context.epoch.value,
-            context.leaseUntilHostClock,
-            failure,
-        )
+    ) = logger.info(
+        "start of {} on {} in epoch {}, lease until {}, failed: {}",
+        command.run,
+        context.incarnation,
+        context.epoch.value,
+        context.leaseUntilHostClock,
+        failure,
+    )
+
+    private suspend fun afterFailure(failure: ExecutorFailure): StartOutcome? {
         if (failure is ExecutorFailure.IncarnationMismatch) return StartOutcome.UNAVAILABLE
         delay(RETRY_MILLIS)
         return null
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandSenderTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandSenderTest.kt
@@ -94,6 +94,17 @@
             expectThat(executor.calls.toList()).isEqualTo(listOf("start", "start", "stop"))
         }
 
+    @Test
+    fun `a start without an answer is not reported as refused once another incarnation is there`() =
+        runTest {
+            // Guards against another start of a task that crashes executors before its crash is reported.
+            val mismatch = ExecutorFailure.IncarnationMismatch("later incarnation").left()
+            val executor = FakeExecutorClient(noAnswer, mismatch)
+            expectThat(CommandSender(executor, { true }, { false }).start(context, command)).isNull()
+            expectThat(CommandSender(FakeExecutorClient(mismatch), { true }, { false }).start(context, command))
+                .isEqualTo(StartOutcome.UNAVAILABLE)
+        }
+
     @Test
     fun `a start that comes after its lease has expired is late`() =
         runTest {
--- a/services/src/main/kotlin/org/greengagepass/services/process/ExecutorClient.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/ExecutorClient.kt
@@ -45,7 +45,12 @@
         override val detail: String,
     ) : ExecutorFailure()
 
-    /** The executor refused and did nothing. */
+    /** No process listens at the executor's address, so the call was not sent. */
+    public data class NotListening(
+        override val detail: String,
+    ) : ExecutorFailure()
+
+    /** The executor refused and did nothing, or the call was not sent. */
     public data class Refused(
         override val detail: String,
     ) : ExecutorFailure()
