Keep the runs of a deregistered executor until it has ended

An executor whose deregistration is not acknowledged ends anyway, some seconds later, and works on meanwhile. The agent reported it as gone at once, so that its tasks started elsewhere beside it (LeavingExecutorTest on: run 2 began 79 ms after the deregistration and 2,952 ms before the end of run 1).

The agent now polls such an executor until no process listens at its address or a later incarnation answers, and reports it as gone then; if its machine is unreachable, its runs are released when their lease has expired. It takes no new tasks, since it drains.

After an executor had left, the agent did not poll the next one on its host before it connected to a leader again, so that the host got no tasks until then. Polling starts with each new incarnation, and again after an unexpected error.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/ExecutorPoller.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/ExecutorPoller.kt
@@ -11,6 +11,7 @@
 import org.greengagepass.core.process.jobs.HostReport
 import org.greengagepass.services.process.ExecutorCallContext
 import org.greengagepass.services.process.ExecutorClient
+import org.greengagepass.services.process.ExecutorFailure
 import org.greengagepass.services.process.ExecutorSnapshot
 
 /** The lease that one leader has granted to one incarnation of the host. */
@@ -28,10 +29,10 @@
     fun callContext() = ExecutorCallContext(incarnation, epoch, leaseUntilHostClock)
 }
 
-/** Polls [executor] and passes each result to [sendReport], or the incarnation that did not answer to [onSilent]. */
+/** Polls [executor] and passes each result to [sendReport], or the incarnation that did not answer to [onFailure]. */
 internal class ExecutorPoller(
     private val executor: ExecutorClient,
-    private val onSilent: (HostIncarnation) -> Unit = {},
+    private val onFailure: (HostIncarnation, ExecutorFailure) -> Unit = { _, _ -> },
     private val sendReport: (HostReport) -> Unit,
 ) {
     private val replies = Channel<Unit>(Channel.CONFLATED)
@@ -54,10 +55,10 @@
         while (isCurrent()) {
             pollNumber += 1
             val number = pollNumber
-            val snapshot = executor.poll(lease.callContext(), lease.acknowledgedEnds, waitMillis).getOrNull()
+            val result = executor.poll(lease.callContext(), lease.acknowledgedEnds, waitMillis)
             if (!isCurrent()) return
             while (replies.tryReceive().isSuccess) Unit
-            if (snapshot == null) onSilent(lease.incarnation)
+            val snapshot = result.onLeft { onFailure(lease.incarnation, it) }.getOrNull()
             // The heartbeat of a later incarnation that has answered may not have arrived yet.
             snapshot?.takeIf { it.mayBeOf(lease.incarnation) }?.let { sendReport(reportOf(lease, number, it)) }
             // The executor answers at once while it has unacknowledged ends, so wait for the acknowledgement first.
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -12,6 +12,7 @@
 import org.greengagepass.core.Epoch
 import org.greengagepass.core.process.jobs.ExecutorName
 import org.greengagepass.core.process.jobs.HostDescription
+import org.greengagepass.core.process.jobs.HostIncarnation
 import org.greengagepass.protocol.connection.FramedConnection
 import org.greengagepass.protocol.connection.FromScheduler
 import org.greengagepass.protocol.connection.PROTOCOL_VERSION
@@ -19,7 +20,9 @@
 import org.greengagepass.protocol.connection.ToScheduler
 import org.greengagepass.services.process.ExecutorCallContext
 import org.greengagepass.services.process.ExecutorClient
+import org.greengagepass.services.process.ExecutorFailure
 import org.greengagepass.services.process.LeaderDirectory
+import org.greengagepass.services.process.runRestarting
 
 /** Connects [executor] to the leader. */
 internal class HostSupervisor(
@@ -35,7 +38,7 @@
     private val poller =
         ExecutorPoller(
             executor = executor,
-            onSilent = { connection?.send(ToScheduler.ExecutorSilent(it)) },
+            onFailure = ::onPollFailed,
             sendReport = {
                 executorClock.update(it.incarnation, it.clockMillis)
                 connection?.send(ToScheduler.Report(it))
@@ -67,6 +70,9 @@
     private var connection: FramedConnection<ToScheduler, FromScheduler>? = null
     private var lease: GrantedLease? = null
     private var polling: Job? = null
+
+    /** The incarnation that has deregistered and may still be at work, or null. */
+    private var leaving: HostIncarnation? = null
     private var highestEpoch = Epoch.NONE
 
     /** Handles an announcement of the executor. */
@@ -74,6 +80,7 @@
         val previous = description
         val isNewIncarnation = previous != null && previous.incarnation != announcement.incarnation
         if (previous != null && isNewIncarnation && executor.replaced(previous)) metrics.recordCrash()
+        if (isNewIncarnation) leaving = null
         val announced = announcement.copy(crashes = executor.crashes)
         if (previous == announced) return
         description = announced
@@ -86,17 +93,34 @@
             )
         }
         connection?.send(ToScheduler.HostDescribed(announced))
-        if (isNewIncarnation) connection?.let { follow(highestEpoch) }
+        if (lease?.incarnation != announced.incarnation) connection?.let { follow(highestEpoch) }
     }
 
-    /** Handles the announcement that [name] has deregistered. */
+    /**
+     * Handles the announcement that [name] has deregistered. It works on for some seconds if the response to that is
+     * lost, so it counts as gone only once it no longer listens.
+     */
     fun onDeregistered(name: ExecutorName) {
-        val previous = description?.takeIf { it.incarnation.executor == name } ?: return
-        executor.reset()
-        logger.info("the executor of host {} has deregistered", previous.incarnation)
-        connection?.send(ToScheduler.HostGone(previous.incarnation))
-        description = null
-        lease = null
+        val current = description?.incarnation?.takeIf { it.executor == name } ?: return
+        logger.info("the executor of host {} has deregistered", current)
+        leaving = current
+    }
+
+    private fun onPollFailed(
+        incarnation: HostIncarnation,
+        failure: ExecutorFailure,
+    ) {
+        when {
+            incarnation != leaving -> connection?.send(ToScheduler.ExecutorSilent(incarnation))
+            failure is ExecutorFailure.NotListening || failure is ExecutorFailure.IncarnationMismatch -> {
+                logger.info("the executor of host {} has ended: {}", incarnation, failure.detail)
+                connection?.send(ToScheduler.HostGone(incarnation))
+                executor.reset()
+                description = null
+                lease = null
+                leaving = null
+            }
+        }
     }
 
     override fun addresses(): List<String> = listOfNotNull(directory.newest?.address) + seedAddresses
@@ -157,7 +181,12 @@
         val current = GrantedLease(description?.incarnation ?: return, epoch)
         lease = current
         polling?.cancel()
-        polling = scope.launch { poller.run(current) { lease === current } }
+        polling =
+            scope.launch {
+                runRestarting({ logger.error("unexpected error in polling, which is started again", it) }) {
+                    poller.run(current) { lease === current }
+                }
+            }
     }
 
     private fun isCurrent(callContext: ExecutorCallContext): Boolean =
