--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformDeployment.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformDeployment.kt
@@ -19,6 +19,7 @@
 /** A machine with an agent and an executor. */
 class PlatformHost(
     val name: String,
+    val executorName: String,
     val executor: ExecutorStandIn,
     val settings: String,
 )
@@ -65,7 +66,12 @@
                     zone = zone(number),
                 )
             val name = "agent-$number"
-            PlatformHost(name, ExecutorStandIn(place, history), settings.agent(name, "127.0.2.$number", place))
+            PlatformHost(
+                name = name,
+                executorName = place.name,
+                executor = ExecutorStandIn(place, history),
+                settings = settings.agent(name, "127.0.2.$number", place),
+            )
         }
 
     /** Starts the store, all processes and all executors. Does not wait until they are ready. */
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformScenario.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformScenario.kt
@@ -15,6 +15,7 @@
 fun withPlatform(
     hostCount: Int,
     entryCount: Int,
+    logsName: String = "",
     scenario: (PlatformDeployment, JobCaller) -> Unit,
 ) {
     PlatformDeployment(hostCount, entryCount).use { deployment ->
@@ -26,13 +27,18 @@
         } catch (
             @Suppress("TooGenericExceptionCaught") failure: Throwable,
         ) {
-            System.getProperty(LOGS_PROPERTY)?.let { deployment.keepLogs(Path.of(it)) }
+            deployment.keepLogsIfRequested(logsName)
             val traces = deployment.history.violations().joinToString("\n")
             throw AssertionError("${failure.message}\n$traces\n${deployment.ownEnds()}", failure)
         }
     }
 }
 
+/** Keeps the log files as [name] in the directory of the property, if it is set. */
+fun PlatformDeployment.keepLogsIfRequested(name: String) {
+    System.getProperty(LOGS_PROPERTY)?.let { keepLogs(Path.of(it, name)) }
+}
+
 /** Submits jobs that occupy all connected hosts until each host has run a task. */
 private fun warmUp(
     deployment: PlatformDeployment,
