--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/JobCaller.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/JobCaller.kt
@@ -60,6 +60,9 @@
 
     companion object {
         const val OK: Int = 200
+
+        /** Answers that say that a job was not accepted and never runs. */
+        val REJECTIONS: Set<Int> = setOf(404, 429, 503)
         const val HOST_NAME: String = "jobs.example"
         const val PATH_PREFIX: String = "/jobs/"
         private const val CONNECT_TIMEOUT_MILLIS = 1_000
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/LeavingExecutorTest.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/LeavingExecutorTest.kt
@@ -14,7 +14,11 @@
         withPlatform(hostCount = 3, entryCount = 2) { deployment, caller ->
             submit(deployment, caller, JOB, StandInSettings.job(tasks = 1, millis = 9_000, cpu = 1_000))
             awaitUntil("the task runs") { deployment.history.runsOf(JOB).isNotEmpty() }
-            val executor = deployment.history.runsOf(JOB).first().executor
+            val executor =
+                deployment.history
+                    .runsOf(JOB)
+                    .first()
+                    .executor
             val host = deployment.hosts.first { executor.startsWith(it.executorName) }
             host.executor.drain(losesAcknowledgement = true)
             awaitUntil("the job is completed", seconds = 60) {
