Soak lost acknowledgements of deregistrations in a test of their own; add long tasks

A soak that is listed as failing for the deregistrations would hide a task that runs twice for another cause.

--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformFaults.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformFaults.kt
@@ -13,10 +13,14 @@
 import kotlin.random.Random
 import kotlin.random.nextLong
 
-/** Injects faults into [deployment]. */
+/**
+ * Injects faults into [deployment]. If [losesDeregistrations] is true, some executors get no acknowledgement of their
+ * deregistration, and work on for some seconds.
+ */
 class PlatformFaults(
     private val deployment: PlatformDeployment,
     private val seed: Long,
+    private val losesDeregistrations: Boolean,
 ) {
     private var deadlineNanos = 0L
 
@@ -67,12 +71,10 @@
         when (random.nextInt(EXECUTOR_FAULTS)) {
             0 -> executor.crash()
             1 -> executor.crashSilently()
-            2 -> {
-                disturb(executor, random) { Disturbance.LostAnswer }
-            }
+            2 -> disturb(executor, random) { Disturbance.LostAnswer }
             3 -> disturb(executor, random) { Disturbance.CarriedOutLater(random.nextLong(200L..4_000L)) }
             4 -> executor.drain(losesAcknowledgement = false)
-            5 -> executor.drain(losesAcknowledgement = random.nextBoolean())
+            5 -> executor.drain(losesAcknowledgement = losesDeregistrations)
             6 -> {
                 executor.resize(SMALL_CAPACITY_CPU)
                 pause(random, 1_000L..4_000L)
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformSoakTest.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformSoakTest.kt
@@ -16,16 +16,30 @@
 
 class PlatformSoakTest {
     @Test
-    fun `no task runs twice and no job is lost while executors and processes fail`() {
-        val seeds = System.getProperty("platform.soak.seeds", "1,2").split(',').map { it.toLong() }
-        expectThat(seeds.flatMap { seed -> soak(seed).map { "seed $seed: $it" } }).isEmpty()
+    fun `no task runs twice and no job is lost while executors and processes fail`(): Unit =
+        soakAll(defaultSeeds = "1", losesDeregistrations = false)
+
+    @Test
+    fun `no task runs twice while executors work on after a deregistration without an acknowledgement`(): Unit =
+        soakAll(defaultSeeds = "2", losesDeregistrations = true)
+
+    private fun soakAll(
+        defaultSeeds: String,
+        losesDeregistrations: Boolean,
+    ) {
+        val seeds = System.getProperty("platform.soak.seeds", defaultSeeds).split(',').map { it.toLong() }
+        expectThat(seeds.flatMap { seed -> soak(seed, losesDeregistrations).map { "seed $seed: $it" } }).isEmpty()
     }
 
-    private fun soak(seed: Long): List<String> {
+    private fun soak(
+        seed: Long,
+        losesDeregistrations: Boolean,
+    ): List<String> {
         var faults = emptyList<String>()
         withPlatform(hostCount = 4, entryCount = 3, logsName = "seed-$seed") { deployment, caller ->
             val submissions = Submissions(deployment, caller, seed)
-            val series = CompletableFuture.runAsync { PlatformFaults(deployment, seed).run(MILLIS) }
+            val faultSeries = PlatformFaults(deployment, seed, losesDeregistrations)
+            val series = CompletableFuture.runAsync { faultSeries.run(MILLIS) }
             submissions.submitUntil { series.isDone }
             series.get()
             faults = submissions.unfinished() + deployment.history.violations() + deployment.ownEnds()
@@ -64,7 +78,7 @@
             val body =
                 StandInSettings.job(
                     tasks = random.nextInt(1, TASKS_BOUND),
-                    millis = random.nextLong(TASK_MILLIS),
+                    millis = random.nextLong(if (random.nextInt(LONG_ONE_IN) == 0) LONG_TASK_MILLIS else TASK_MILLIS),
                     cpu = random.nextLong(TASK_CPU),
                 )
             answers[id] = CompletableFuture.supplyAsync({ submit(id, body) }, threads)
@@ -113,7 +127,11 @@
     private companion object {
         private const val ID_HIGH_BIT = 60
         private const val TASKS_BOUND = 4
+        private const val LONG_ONE_IN = 5
         private val TASK_MILLIS = 100L..3_000L
+
+        /** Longer than an executor drains. */
+        private val LONG_TASK_MILLIS = 5_000L..9_000L
         private val TASK_CPU = 500L..2_000L
         private const val SUBMIT_MILLIS = 500L
         private const val RETRY_MILLIS = 400L
