Take a refused start as final only if no other command for the run was issued

A leader repeats the start of a run when the agent of its host reconnects, and a new leader repeats the starts of its predecessor. The agent then carries out two commands for one run. If the first was answered NO_ROOM, UNAVAILABLE or LATE, the leader released the run and placed its task elsewhere, although the second command could still start it: two runs of one task.

A refusal now releases the run only if this leader placed it and has issued one start command. Otherwise the run is stopped, which rules out all of its starts, and its task waits for the answer to the stop.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -48,6 +48,19 @@
     /** True if a command for the run was issued since the host's agent last connected. */
     internal var isCommandSent: Boolean = false
 
+    /** True if this leader has issued a start command for the run. */
+    private var isStartIssued: Boolean = false
+
+    /** True if a start command before the last one may still be answered or carried out. */
+    internal var hasEarlierStart: Boolean = false
+
+    /** Notes that another start command is issued. */
+    internal fun startIssued() {
+        hasEarlierStart = hasEarlierStart || isStartIssued
+        isStartIssued = true
+        isCommandSent = true
+    }
+
     /**
      * Polls up to this number may omit the run although the host holds it. The largest number until the host has
      * answered a command.
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -154,9 +154,23 @@
             }
             StartOutcome.NO_ROOM, StartOutcome.UNAVAILABLE, StartOutcome.FENCED, StartOutcome.REJECTED -> {
                 host.pauseUntil(moment.now.plusMillis(REFUSAL_PAUSE_MILLIS))
-                transitions.release(host, placed, result.outcome.name.lowercase())
+                startRefused(host, placed, result.outcome, moment)
             }
-            StartOutcome.LATE -> transitions.release(host, placed, "late")
+            StartOutcome.LATE -> startRefused(host, placed, result.outcome, moment)
+        }
+    }
+
+    /** The refusal of one command does not rule out another one for the same run; a stop rules out all of them. */
+    private fun startRefused(
+        host: Host,
+        placed: PlacedRun,
+        outcome: StartOutcome,
+        moment: Moment,
+    ) {
+        if (!placed.hasEarlierStart) {
+            transitions.release(host, placed, outcome.name.lowercase())
+        } else if (placed.stopRequestedAt == null) {
+            transitions.stop(host, placed, StopReason.START_REFUSED, moment)
         }
     }
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
@@ -31,7 +31,7 @@
         host: Host,
         placed: PlacedRun,
     ) {
-        placed.isCommandSent = true
+        placed.startIssued()
         val command = StartCommand(placed.run, job.definition.specification.payload, placed.task.checkpoint)
         state.effects.afterStored(SchedulerEffect.Start(host.incarnation, command))
     }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
@@ -54,6 +54,9 @@
     /** An executor has crashed under its task, which now runs apart from others. */
     CRASH_SUSPECT,
 
+    /** Its host has refused one of several start commands for it. */
+    START_REFUSED,
+
     /** The capacity of its host has shrunk before the run has started. */
     NO_CAPACITY,
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -82,7 +82,7 @@
     ) {
         val incarnation = task.placedOn ?: return
         val host = hosts.addRestored(placeholderDescription(incarnation), leadershipStartedAt)
-        host.runs[task.key] = PlacedRun(task, task.run, leadershipStartedAt)
+        host.runs[task.key] = PlacedRun(task, task.run, leadershipStartedAt).apply { hasEarlierStart = true }
     }
 
     private fun placeholderDescription(incarnation: HostIncarnation) =
