Ignore messages about an incarnation of a host that has ended

A heartbeat or a message that was delayed, or an agent that has restarted and hears a delayed heartbeat first, describes an incarnation that has deregistered or that a later one has replaced. The leader added it to its hosts as a connected one. Once a report of it arrived, tasks were placed there; they waited until its lease had expired.

The table of hosts keeps the start of the earliest incarnation of each host that may still be up, and ignores earlier ones. A lease that has expired does not end an incarnation, which may connect again.

A new leader does not know what ended before it began.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -20,6 +20,10 @@
         description: HostDescription,
         moment: Moment,
     ) {
+        if (state.hosts.hasEnded(description.incarnation)) {
+            state.effects.logDecision(Decision("host_outdated", host = description.incarnation))
+            return
+        }
         val earlier = state.hosts.earlierIncarnations(description.incarnation)
         val host = state.hosts.connect(description)
         earlier.forEach {
@@ -109,13 +113,14 @@
         end: IncarnationEnd,
         moment: Moment,
     ) {
-        val host = state.hosts[incarnation] ?: return
+        val host = state.hosts[incarnation]
+        state.hosts.end(incarnation)
+        if (host == null) return
         val detail = "${end.name.lowercase()}, ${host.runs.size} runs at ${moment.epochMillis}"
         state.effects.logDecision(Decision("host_gone", host = incarnation, detail = detail))
         host.runs.values
             .toList()
             .forEach { transitions.release(host, it, "the host is gone") }
-        state.hosts.remove(incarnation)
         state.reliability.remove(incarnation)
     }
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostTable.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostTable.kt
@@ -4,6 +4,7 @@
  */
 package org.greengagepass.core.process.jobs
 
+import org.greengagepass.core.HostId
 import org.greengagepass.core.Timestamp
 
 /** The scheduler's hosts. */
@@ -12,6 +13,9 @@
 ) {
     private val hosts = LinkedHashMap<HostIncarnation, Host>()
 
+    /** Start of the earliest incarnation of each host that may still be up. */
+    private val earliestStarts = HashMap<HostId, Long>()
+
     /** The host with [incarnation], or null. */
     public operator fun get(incarnation: HostIncarnation): Host? = hosts[incarnation]
 
@@ -35,9 +39,14 @@
             Host(description).apply { leaseExpiresAt = leadershipStartedAt.plusMillis(settings.takeoverBoundMillis) }
         }
 
+    /** True if [incarnation] has deregistered or a later one of its host has connected. */
+    public fun hasEnded(incarnation: HostIncarnation): Boolean =
+        incarnation.startedAtEpochMillis < (earliestStarts[incarnation.host] ?: Long.MIN_VALUE)
+
     /** Adds or updates a host that has just connected. */
     internal fun connect(description: HostDescription): Host {
         val host = hosts.getOrPut(description.incarnation) { Host(description) }
+        earliestStarts.merge(description.incarnation.host, description.incarnation.startedAtEpochMillis, ::maxOf)
         host.description = description
         host.isConnected = true
         host.runs.values.forEach {
@@ -61,6 +70,12 @@
         hosts.remove(incarnation)
     }
 
+    /** Removes [incarnation], which has ended. Later messages about it are outdated. */
+    internal fun end(incarnation: HostIncarnation) {
+        hosts.remove(incarnation)
+        earliestStarts.merge(incarnation.host, incarnation.startedAtEpochMillis + 1, ::maxOf)
+    }
+
     /**
      * Extends the lease of [host], which reported [hostClockMillis] and is answered at [now]. Returns the end of the
      * lease as a reading of the host's clock.
