Start nothing on a draining host that an outdated description calls ready

An agent that has restarted may hear a delayed heartbeat first and describe its executor as ready although it drains or has deregistered and works on for some seconds because its acknowledgement was lost. The leader took the description over and placed tasks there. An executor that drains does not become ready again, so the leader keeps an incarnation draining once it has been described so.

OutdatedHostMessagesTest `an outdated claim that a draining host is ready ...` failed on the code before (a task was started there).

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -124,7 +124,7 @@
 ) {
     /** The host's latest description of itself. */
     public var description: HostDescription = description
-        internal set
+        private set
 
     /** Runs that are or may be on the host, by task. */
     public val runs: MutableMap<TaskKey, PlacedRun> = LinkedHashMap()
@@ -166,6 +166,11 @@
     /** Estimate of how fast tasks run on the host. */
     public val speed: HostSpeed = HostSpeed()
 
+    /** Adopts [newer]. An executor that drains does not become ready again, so a claim that it is ready is outdated. */
+    internal fun describe(newer: HostDescription) {
+        description = newer.copy(isDraining = newer.isDraining || description.isDraining)
+    }
+
     /** Places no tasks on the host before [time]. */
     internal fun pauseUntil(time: Timestamp) {
         pausedUntil = maxOf(pausedUntil, time)
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -65,7 +65,7 @@
     ) {
         val host = state.hosts[description.incarnation] ?: return connected(description, moment)
         val startsDraining = description.isDraining && !host.description.isDraining
-        host.description = description
+        host.describe(description)
         capacityGuard.withdrawStarts(host, moment)
         crashAttribution.count(description, moment)
         if (startsDraining) {
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostTable.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostTable.kt
@@ -47,7 +47,7 @@
     internal fun connect(description: HostDescription): Host {
         val host = hosts.getOrPut(description.incarnation) { Host(description) }
         earliestStarts.merge(description.incarnation.host, description.incarnation.startedAtEpochMillis, ::maxOf)
-        host.description = description
+        host.describe(description)
         host.isConnected = true
         host.runs.values.forEach {
             it.isConfirmed = false
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/OutdatedHostMessagesTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/OutdatedHostMessagesTest.kt
@@ -44,4 +44,14 @@
         harness.submit("job", specification(step()), expired + 10)
         expectThat(harness.starts(expired + 20).map { it.host }).isEqualTo(listOf(first))
     }
+
+    @Test
+    fun `an outdated claim that a draining host is ready does not let tasks start there`() {
+        // Guards against an agent that has restarted and hears a delayed announcement first.
+        harness.connect(description(first).copy(isDraining = true), 0)
+        harness.scheduler.hosts.disconnected(first)
+        harness.connect(description(first), 100)
+        harness.submit("job", specification(step()), 100)
+        expectThat(harness.starts(110)).isEmpty()
+    }
 }
