Handle messages of a host only from its agent's newest connection

When an agent reconnects, what it sent before may still be read from its earlier connection, after the newer one: the leader was paused, or the packets were late. Only reports were checked against the current connection. The others were taken as news:

- A refusal of a start released the run although the newer connection had already carried a repeated start for it: two runs of one task.
- HostGone of an agent that has since been replaced released the runs of an executor whose lease was extended again.
- HostDescribed took the place of the newer connection, which was closed.
- An answer with the poll number of an earlier agent process kept a run from being settled for as many polls of the present process.

The newest connection on which an agent introduces itself is now the one of its host, whatever the incarnation, and nothing else of that host is handled. A host whose agent connects for another incarnation is disconnected under the earlier one; it counted as connected without a connection. HostConnections holds the rule, so that the simulation of the core can use it.

--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
@@ -19,14 +19,18 @@
     private val sessions: HostSessions,
     private val clock: () -> Moment,
 ) {
-    /** Handles [message] from [session]. Leases are extended only if [mayExtendLease]. */
+    /**
+     * Handles [message] from [session]. Leases are extended only if [mayExtendLease]. After the agent's first message,
+     * only the current connection of its host counts.
+     */
     fun handle(
         session: SchedulerSession,
         message: ToScheduler,
         mayExtendLease: Boolean,
     ) {
+        if (message is ToScheduler.HostHello) return connect(session, message.description)
+        if (!sessions.isCurrent(session)) return
         when (message) {
-            is ToScheduler.HostHello -> connect(session, message.description)
             is ToScheduler.HostDescribed -> describe(session, message.description)
             is ToScheduler.HostGone ->
                 scheduler.hosts.incarnationEnded(
@@ -38,7 +42,7 @@
             is ToScheduler.Report -> report(session, message.report, mayExtendLease)
             is ToScheduler.StartAnswered -> scheduler.hosts.startAnswered(message.result, clock())
             is ToScheduler.StopAnswered -> scheduler.hosts.stopAnswered(message.result)
-            is ToScheduler.Request, is ToScheduler.EntryHello, ToScheduler.Ping -> Unit
+            is ToScheduler.HostHello, is ToScheduler.Request, is ToScheduler.EntryHello, ToScheduler.Ping -> Unit
         }
     }
 
@@ -52,7 +56,7 @@
         session: SchedulerSession,
         description: HostDescription,
     ) {
-        sessions.attach(description.incarnation, session)
+        sessions.attach(description.incarnation, session)?.let { scheduler.hosts.disconnected(it) }
         scheduler.hosts.connected(description, clock())
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostSessions.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostSessions.kt
@@ -1,8 +1,10 @@
 /*
- * The agents' connections by incarnation of a host. A newer connection replaces an older one.
+ * The agents' connections by host. The connection on which an agent introduces itself replaces an earlier one of its
+ * host, of which nothing counts any more.
  */
 package org.greengagepass.entry.process.jobs
 
+import org.greengagepass.core.process.jobs.HostConnections
 import org.greengagepass.core.process.jobs.HostIncarnation
 import org.greengagepass.protocol.connection.FramedConnection
 import org.greengagepass.protocol.connection.FromScheduler
@@ -11,39 +13,47 @@
 /** A connection as the scheduler uses it. */
 internal typealias SchedulerSession = FramedConnection<FromScheduler, ToScheduler>
 
-/** Connections by incarnation of a host. */
+/** Connections by host. */
 internal class HostSessions {
-    private val sessions = HashMap<HostIncarnation, SchedulerSession>()
+    private val connections = HostConnections<SchedulerSession>()
 
     /** Sends [message] to [incarnation] if it is connected. */
     fun send(
         incarnation: HostIncarnation,
         message: FromScheduler,
-    ): Boolean = sessions[incarnation]?.send(message) ?: false
+    ): Boolean {
+        val current = connections[incarnation.host]?.takeIf { it.incarnation == incarnation } ?: return false
+        return current.connection.send(message)
+    }
 
-    /** Makes [session] the connection of [incarnation] and closes an earlier one. */
+    /**
+     * Makes [session] the connection of the host of [incarnation] and closes an earlier one. Returns the incarnation
+     * that was connected by that one, if it is another.
+     */
     fun attach(
         incarnation: HostIncarnation,
         session: SchedulerSession,
-    ) {
-        sessions.put(incarnation, session)?.takeIf { it !== session }?.close()
+    ): HostIncarnation? {
+        val replaced = connections.attach(incarnation, session)?.takeIf { it.connection !== session } ?: return null
+        replaced.connection.close()
+        return replaced.incarnation.takeIf { it != incarnation }
     }
 
+    /** True if [session] is the current connection of a host. */
+    fun isCurrent(session: SchedulerSession): Boolean = connections.isCurrent(session)
+
     /** True if [session] is the current connection of [incarnation]. */
     fun isAttached(
         incarnation: HostIncarnation,
         session: SchedulerSession,
-    ): Boolean = sessions[incarnation] === session
+    ): Boolean =
+        connections[incarnation.host]?.run { connection === session && this.incarnation == incarnation } ?: false
 
-    /** Removes [session]. Returns the incarnations whose current connection it was. */
-    fun detach(session: SchedulerSession): List<HostIncarnation> {
-        val incarnations = sessions.filterValues { it === session }.keys.toList()
-        sessions.keys.removeAll(incarnations.toSet())
-        return incarnations
-    }
+    /** Removes [session]. Returns the incarnation whose current connection it was, or null. */
+    fun detach(session: SchedulerSession): HostIncarnation? = connections.detach(session)
 
     fun closeAll() {
-        sessions.values.toSet().forEach { it.close() }
-        sessions.clear()
+        connections.all().forEach { it.connection.close() }
+        connections.clear()
     }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -128,7 +128,7 @@
             handle(session, message)
             message = next(session)
         }
-        sessions.detach(session).forEach { scheduler.hosts.disconnected(it) }
+        sessions.detach(session)?.let { scheduler.hosts.disconnected(it) }
         signal.trySend(Unit)
     }
 
