Send a start only while its run is placed on the host

A start waits for the store. If its run was released meanwhile, for example by the refusal of an earlier command for it, the start was sent all the same, with the present lease of the host, and the task may have been placed elsewhere by then.

HostMessagesTest `a start is not sent once its run has been released` covers it. On the code before, start() told nothing of what it sent, so that the failure of the test there only shows the missing result; that it sent the command was read.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -180,6 +180,9 @@
     public fun isResponsive(now: Timestamp): Boolean =
         isConnected && lastReportAt.plusMillis(REPORT_SILENCE_MILLIS) >= now
 
+    /** True if [run] is or may be on the host, so that a start command for it may be sent. */
+    public fun isPlaced(run: TaskRun): Boolean = runs[run.task]?.run == run
+
     /** Resources reserved by the runs on the host. */
     public fun reserved(): Resources =
         runs.values.fold(Resources.NONE) { sum, placed -> sum + placed.task.step.reservation }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
@@ -46,10 +46,13 @@
         }
     }
 
-    /** Sends the command in [effect]. If the host is not connected, it is sent again once the host has reconnected. */
-    fun start(effect: SchedulerEffect.Start) {
-        val host = scheduler.state.hosts[effect.host] ?: return
-        sessions.send(effect.host, FromScheduler.Start(effect.host, effect.command, host.leaseUntilHostClock))
+    /**
+     * Sends the command in [effect] if its run is still placed on the host, and returns whether it was sent. If the host
+     * is not connected, the command is sent again once the host has reconnected.
+     */
+    fun start(effect: SchedulerEffect.Start): Boolean {
+        val host = scheduler.state.hosts[effect.host]?.takeIf { it.isPlaced(effect.command.run) } ?: return false
+        return sessions.send(effect.host, FromScheduler.Start(effect.host, effect.command, host.leaseUntilHostClock))
     }
 
     private fun connect(
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/HostMessagesTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/HostMessagesTest.kt
@@ -19,6 +19,7 @@
 import org.greengagepass.core.process.jobs.Moment
 import org.greengagepass.core.process.jobs.QueueDefinition
 import org.greengagepass.core.process.jobs.QueueName
+import org.greengagepass.core.process.jobs.SchedulerEffect
 import org.greengagepass.core.process.jobs.SchedulerSettings
 import org.greengagepass.core.process.jobs.StartOutcome
 import org.greengagepass.core.process.jobs.StartResult
@@ -99,6 +100,21 @@
         expectThat(scheduler.state.hosts[HOST.incarnation]).isNotNull().get { isConnected }.isFalse()
     }
 
+    @Test
+    fun `a start is not sent once its run has been released`() {
+        // Guards against a command that waited for the store while its run was placed elsewhere.
+        val start =
+            scheduler
+                .takeBatch()!!
+                .effects
+                .filterIsInstance<SchedulerEffect.Start>()
+                .single()
+        expectThat(messages.start(start)).isTrue()
+        handle(new, ToScheduler.StartAnswered(StartResult(HOST.incarnation, task.run, StartOutcome.LATE, 1)))
+        expectThat(task.state).isEqualTo(TaskState.Waiting)
+        expectThat(messages.start(start)).isFalse()
+    }
+
     private fun handle(
         session: SchedulerSession,
         message: ToScheduler,
