Confirm the leadership as of the first unanswered try of an append

The store answers the repeat of a recent append with the answer to its first try. A leader whose answers are lost may so be told of a success that dates from before its successor began. It took the moment of the last try for the moment of the confirmation and would grant leases for up to the leadership's time from then, while its successor counts that time from its own start.

The leadership is confirmed as of the first try that got no answer. Tries that the store refused don't count, since nothing was done. After an outage the next write of the leadership record, due at once, confirms it anew.

Whether the store checks the epoch before it repeats an answer is not stated, so this may never have happened.

--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
@@ -36,6 +36,7 @@
     public suspend fun write(records: List<StateRecord>): Boolean = chunks(records).all { writeChunk(it) }
 
     private suspend fun writeChunk(records: List<StateRecord>): Boolean {
+        var unansweredSince: Moment? = null
         while (true) {
             val startedAt = clock()
             writingSince = writingSince ?: startedAt.now
@@ -44,7 +45,8 @@
                 nextSequence += 1
                 lastSuccessAt = startedAt.now
                 writingSince = null
-                confirmation.confirm(startedAt)
+                // The store may repeat its answer to an earlier try, and another leader may have begun after that try.
+                confirmation.confirm(unansweredSince ?: startedAt)
                 storeRecovered()
                 return true
             }
@@ -55,6 +57,7 @@
                 }
                 is StoreFailure.Refused, is StoreFailure.NoAnswer -> storeFailed(startedAt, failure)
             }
+            if (failure is StoreFailure.NoAnswer) unansweredSince = unansweredSince ?: startedAt
             delay(RETRY_MILLIS)
         }
     }
