Tell executors apart that state no start when one of them has ended

The start of an executor is 0 if its heartbeats don't state it. The table of hosts took an executor for ended if its start was not later than that of the last one that deregistered, so that after one without a start no other was used. The last ended incarnation is now kept whole, and only a strictly later start ends others. Found by reading; the test was not run on that code.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostTable.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostTable.kt
@@ -13,8 +13,11 @@
 ) {
     private val hosts = LinkedHashMap<HostIncarnation, Host>()
 
-    /** Start of the earliest incarnation of each host that may still be up. */
-    private val earliestStarts = HashMap<HostId, Long>()
+    /** Start of the latest incarnation of each host that has connected; the earlier ones have ended. */
+    private val latestStarts = HashMap<HostId, Long>()
+
+    /** The last incarnation of each host that is known to have ended. */
+    private val lastEnded = HashMap<HostId, HostIncarnation>()
 
     /** The host with [incarnation], or null. */
     public operator fun get(incarnation: HostIncarnation): Host? = hosts[incarnation]
@@ -41,12 +44,13 @@
 
     /** True if [incarnation] has deregistered or a later one of its host has connected. */
     public fun hasEnded(incarnation: HostIncarnation): Boolean =
-        incarnation.startedAtEpochMillis < (earliestStarts[incarnation.host] ?: Long.MIN_VALUE)
+        incarnation == lastEnded[incarnation.host] ||
+            incarnation.startedAtEpochMillis < (latestStarts[incarnation.host] ?: Long.MIN_VALUE)
 
     /** Adds or updates a host that has just connected. */
     internal fun connect(description: HostDescription): Host {
         val host = hosts.getOrPut(description.incarnation) { Host(description) }
-        earliestStarts.merge(description.incarnation.host, description.incarnation.startedAtEpochMillis, ::maxOf)
+        latestStarts.merge(description.incarnation.host, description.incarnation.startedAtEpochMillis, ::maxOf)
         host.describe(description)
         host.isConnected = true
         host.runs.values.forEach {
@@ -73,7 +77,7 @@
     /** Removes [incarnation], which has ended. Later messages about it are outdated. */
     internal fun end(incarnation: HostIncarnation) {
         hosts.remove(incarnation)
-        earliestStarts.merge(incarnation.host, incarnation.startedAtEpochMillis + 1, ::maxOf)
+        lastEnded[incarnation.host] = incarnation
     }
 
     /**
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/OutdatedHostMessagesTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/OutdatedHostMessagesTest.kt
@@ -33,6 +33,18 @@
         expectThat(harness.starts(30)).isEmpty()
     }
 
+    @Test
+    fun `an executor that states no start is used although an earlier one without a start has deregistered`() {
+        // Guards against a host that stays unused because starts that are not stated look equal.
+        val unstated = first.copy(startedAtEpochMillis = 0)
+        harness.connect(description(unstated), 0)
+        harness.scheduler.hosts.incarnationEnded(unstated, IncarnationEnd.DEREGISTERED, moment(10))
+        val next = unstated.copy(executor = ExecutorName("next"))
+        harness.connect(description(next), 20)
+        harness.submit("job", specification(step()), 20)
+        expectThat(harness.starts(30).map { it.host }).isEqualTo(listOf(next))
+    }
+
     @Test
     fun `a host that has connected again after its lease expired is used again`() {
         // Guards against taking a host for gone that was only cut off.
