Renew an expired confirmation of the leadership at once

After an append that was repeated for longer than the time of the leadership, the leader is not confirmed and waited up to 400 ms for its next write. It now writes the leadership record as soon as nothing else is to be written. No test of its own; the tests of the entry cover the renewal.

--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -163,7 +163,7 @@
         when {
             batch != null && batch.change.records.isEmpty() -> finish(batch)
             batch != null -> write(batch)
-            moment.now.millisSince(writer.lastSuccessAt) >= RENEWAL_MILLIS -> write(null)
+            !isConfirmed || moment.now.millisSince(writer.lastSuccessAt) >= RENEWAL_MILLIS -> write(null)
         }
     }
 
