Release the runs of an executor that has restarted under its name

A run whose start was not confirmed moved to the later incarnation of the name, under the same run number, since a command for the earlier incarnation could take effect there. Agents bind commands to one incarnation now, so such a run is certainly gone, and moving it did harm:

- A crash counts once for each run number.
A task whose crash had been put down to a common cause moved to the next incarnation under its number and was started again; crashes under it were not counted any more.
- The task waited for a report of that incarnation, and the lease of the host counted twice as long, although other hosts had capacity.

The run is released like those of any incarnation that has ended.

CrashingTaskTest `each crash under a task counts although its executor keeps its name` is new.

This relies on the agent: without the binding the change would allow two runs.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -11,7 +11,7 @@
     private val transitions: RunTransitions,
 ) {
     private val capacityGuard = CapacityGuard(transitions)
-    private val suspectRuns = SuspectRuns(state, transitions)
+    private val suspectRuns = SuspectRuns(state)
     private val crashAttribution = CrashAttribution(state, transitions, suspectRuns)
     private val reportHandler = HostReportHandler(state, transitions, suspectRuns, capacityGuard)
 
@@ -26,38 +26,14 @@
         }
         val earlier = state.hosts.earlierIncarnations(description.incarnation)
         val host = state.hosts.connect(description)
-        earlier.forEach {
-            if (it.incarnation.executor == description.incarnation.executor) adoptUnconfirmed(it, host, moment)
-            incarnationEnded(it.incarnation, description.endOf(it.incarnation), moment)
-        }
+        earlier.forEach { incarnationEnded(it.incarnation, description.endOf(it.incarnation), moment) }
         state.effects.logDecision(
             Decision("host_connected", host = description.incarnation, detail = description.pool.value),
         )
         crashAttribution.count(description, moment)
-        suspectRuns.stopAdopted(host, moment)
         capacityGuard.withdrawStarts(host, moment)
     }
 
-    /**
-     * Assigns runs of [earlier] whose start is not confirmed to [host]. Both incarnations have the same name, by which
-     * commands are addressed, so that a start command for the earlier one may have taken effect in the later one.
-     */
-    private fun adoptUnconfirmed(
-        earlier: Host,
-        host: Host,
-        moment: Moment,
-    ) {
-        host.leaseExpiresAt = maxOf(host.leaseExpiresAt, moment.now.plusMillis(state.settings.foreignLeaseBoundMillis))
-        earlier.runs.values.filter { it.isCommandSent && !it.isConfirmed }.forEach { placed ->
-            val job = state.jobs[placed.run.task.job] ?: return@forEach
-            if (!placed.task.isCurrentRun(earlier.incarnation, placed.run.number)) return@forEach
-            earlier.runs.remove(placed.run.task)
-            host.runs[placed.run.task] = PlacedRun(placed.task, placed.run, placed.placedAt)
-            placed.task.state = TaskState.Placed(host.incarnation)
-            state.jobs.markChanged(job)
-        }
-    }
-
     /** Handles a changed [description] of a host. */
     public fun descriptionChanged(
         description: HostDescription,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
@@ -51,9 +51,6 @@
     /** The scheduler's state has no such run on the host. */
     NOT_EXPECTED,
 
-    /** An executor has crashed under its task, which now runs apart from others. */
-    CRASH_SUSPECT,
-
     /** Its host has refused one of several start commands for it. */
     START_REFUSED,
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerSettings.kt
@@ -22,13 +22,6 @@
     val takeoverBoundMillis: Long
         get() = leadershipMillis + leaseBoundMillis
 
-    /**
-     * Time after which a lease has certainly expired that an executor took from a command for its earlier incarnation.
-     * Clocks of two incarnations are unrelated, so that the executor may have cut it to twice the usual lease only.
-     */
-    val foreignLeaseBoundMillis: Long
-        get() = 2 * leaseBoundMillis
-
     private companion object {
         private const val PERCENT = 100
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SuspectRuns.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SuspectRuns.kt
@@ -8,7 +8,6 @@
 /** Follows the runs of suspects. */
 internal class SuspectRuns(
     private val state: SchedulerState,
-    private val transitions: RunTransitions,
 ) {
     /**
      * Isolates the runs of [host], whose lease has expired, that had just started when its executor fell silent. Before
@@ -28,16 +27,6 @@
         }
     }
 
-    /** Rules out a start that was meant for an earlier incarnation, so that the suspect is placed like any other. */
-    fun stopAdopted(
-        host: Host,
-        moment: Moment,
-    ) {
-        host.runs.values
-            .filter { it.task.crashHistory.isSuspect && it.listedSince == null && it.stopRequestedAt == null }
-            .forEach { transitions.stop(host, it, StopReason.CRASH_SUSPECT, moment) }
-    }
-
     /** Clears the task of [placed] if its run has lasted long enough. */
     fun survived(
         placed: PlacedRun,
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
@@ -83,6 +83,25 @@
         expectThat(leader.visibleStatus("job")).isEqualTo(JobStatus.IN_PROGRESS)
     }
 
+    @Test
+    fun `each crash under a task counts although its executor keeps its name`() {
+        // Guards against starts without end: a crash under a run number that was counted before is not counted again.
+        val kept = hosts[0].executor
+        val first = harness.startOn(description(hosts[0]), step())
+        harness.connect(description(hosts[1]), 20)
+        harness.scheduler.hosts.silent(hosts[1], moment(30))
+        val second = hosts[0].copy(startedAtEpochMillis = 2)
+        harness.connect(description(second).copy(crashes = listOf(crashOf(hosts[0], at = 30, first to 10))), 100)
+        val again = harness.startedRun(110)
+        val third = hosts[0].copy(startedAtEpochMillis = 3)
+        harness.connect(description(third).copy(crashes = listOf(crashOf(second, at = 130, again to 110))), 200)
+        val task =
+            harness.scheduler.state.jobs[JobId("job")]
+                ?.task(first.task)
+        expectThat(listOf(second.executor, third.executor)).all { isEqualTo(kept) }
+        expectThat(task?.crashHistory?.losses).isEqualTo(2)
+    }
+
     @Test
     fun `a task is not given up for executors that were only silent`() {
         // Guards against taking a host that does not answer, or whose lease expired, for one that has crashed.
