--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Sends the command in [effect] if its run is still placed on the host, and returns whether it was sent. If the host
-     * is not connected, the command is sent again once the host has reconnected.
+     * Sends the command in [effect] if its run is still placed on the host. Returns true if it was sent. If the host is
+     * not connected, the command is sent again once the host has reconnected.
      */
     fun start(effect: SchedulerEffect.Start): Boolean {
         val host = scheduler.state.hosts[effect.host]?.takeIf { it.isPlaced(effect.command.run) } ?: return false
