--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -48,6 +48,19 @@
     /** True if a command for the run was issued since the host's agent last connected. */
     internal var isCommandSent: Boolean = false
 
+    /** True if this leader has issued a start command for the run. */
+    private var isStartIssued: Boolean = false
+
+    /** True if a start command before the last one may still be answered or carried out. */
+    internal var hasEarlierStart: Boolean = false
+
+    /** Notes that another start command is issued. */
+    internal fun startIssued() {
+        hasEarlierStart = hasEarlierStart || isStartIssued
+        isStartIssued = true
+        isCommandSent = true
+    }
+
     /**
      * Polls up to this number may omit the run although the host holds it. The largest number until the host has
      * answered a command.
@@ -111,7 +124,7 @@
 ) {
     /** The host's latest description of itself. */
     public var description: HostDescription = description
-        internal set
+        private set
 
     /** Runs that are or may be on the host, by task. */
     public val runs: MutableMap<TaskKey, PlacedRun> = LinkedHashMap()
@@ -153,6 +166,11 @@
     /** Estimate of how fast tasks run on the host. */
     public val speed: HostSpeed = HostSpeed()
 
+    /** Adopts [newer]. An executor that drains does not become ready again, so a claim that it is ready is outdated. */
+    internal fun describe(newer: HostDescription) {
+        description = newer.copy(isDraining = newer.isDraining || description.isDraining)
+    }
+
     /** Places no tasks on the host before [time]. */
     internal fun pauseUntil(time: Timestamp) {
         pausedUntil = maxOf(pausedUntil, time)
@@ -162,6 +180,9 @@
     public fun isResponsive(now: Timestamp): Boolean =
         isConnected && lastReportAt.plusMillis(REPORT_SILENCE_MILLIS) >= now
 
+    /** True if [run] is or may be on the host, so that a start command for it may be sent. */
+    public fun isPlaced(run: TaskRun): Boolean = runs[run.task]?.run == run
+
     /** Resources reserved by the runs on the host. */
     public fun reserved(): Resources =
         runs.values.fold(Resources.NONE) { sum, placed -> sum + placed.task.step.reservation }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -11,7 +11,7 @@
     private val transitions: RunTransitions,
 ) {
     private val capacityGuard = CapacityGuard(transitions)
-    private val suspectRuns = SuspectRuns(state, transitions)
+    private val suspectRuns = SuspectRuns(state)
     private val crashAttribution = CrashAttribution(state, transitions, suspectRuns)
     private val reportHandler = HostReportHandler(state, transitions, suspectRuns, capacityGuard)
 
@@ -20,40 +20,20 @@
         description: HostDescription,
         moment: Moment,
     ) {
+        if (state.hosts.hasEnded(description.incarnation)) {
+            state.effects.logDecision(Decision("host_outdated", host = description.incarnation))
+            return
+        }
         val earlier = state.hosts.earlierIncarnations(description.incarnation)
         val host = state.hosts.connect(description)
-        earlier.forEach {
-            if (it.incarnation.executor == description.incarnation.executor) adoptUnconfirmed(it, host, moment)
-            incarnationEnded(it.incarnation, description.endOf(it.incarnation), moment)
-        }
+        earlier.forEach { incarnationEnded(it.incarnation, description.endOf(it.incarnation), moment) }
         state.effects.logDecision(
             Decision("host_connected", host = description.incarnation, detail = description.pool.value),
         )
         crashAttribution.count(description, moment)
-        suspectRuns.stopAdopted(host, moment)
         capacityGuard.withdrawStarts(host, moment)
     }
 
-    /**
-     * Assigns runs of [earlier] whose start is not confirmed to [host]. Both incarnations have the same name, by which
-     * commands are addressed, so that a start command for the earlier one may have taken effect in the later one.
-     */
-    private fun adoptUnconfirmed(
-        earlier: Host,
-        host: Host,
-        moment: Moment,
-    ) {
-        host.leaseExpiresAt = maxOf(host.leaseExpiresAt, moment.now.plusMillis(state.settings.foreignLeaseBoundMillis))
-        earlier.runs.values.filter { it.isCommandSent && !it.isConfirmed }.forEach { placed ->
-            val job = state.jobs[placed.run.task.job] ?: return@forEach
-            if (!placed.task.isCurrentRun(earlier.incarnation, placed.run.number)) return@forEach
-            earlier.runs.remove(placed.run.task)
-            host.runs[placed.run.task] = PlacedRun(placed.task, placed.run, placed.placedAt)
-            placed.task.state = TaskState.Placed(host.incarnation)
-            state.jobs.markChanged(job)
-        }
-    }
-
     /** Handles a changed [description] of a host. */
     public fun descriptionChanged(
         description: HostDescription,
@@ -61,7 +41,7 @@
     ) {
         val host = state.hosts[description.incarnation] ?: return connected(description, moment)
         val startsDraining = description.isDraining && !host.description.isDraining
-        host.description = description
+        host.describe(description)
         capacityGuard.withdrawStarts(host, moment)
         crashAttribution.count(description, moment)
         if (startsDraining) {
@@ -109,13 +89,14 @@
         end: IncarnationEnd,
         moment: Moment,
     ) {
-        val host = state.hosts[incarnation] ?: return
+        val host = state.hosts[incarnation]
+        state.hosts.end(incarnation)
+        if (host == null) return
         val detail = "${end.name.lowercase()}, ${host.runs.size} runs at ${moment.epochMillis}"
         state.effects.logDecision(Decision("host_gone", host = incarnation, detail = detail))
         host.runs.values
             .toList()
             .forEach { transitions.release(host, it, "the host is gone") }
-        state.hosts.remove(incarnation)
         state.reliability.remove(incarnation)
     }
 
@@ -154,9 +135,23 @@
             }
             StartOutcome.NO_ROOM, StartOutcome.UNAVAILABLE, StartOutcome.FENCED, StartOutcome.REJECTED -> {
                 host.pauseUntil(moment.now.plusMillis(REFUSAL_PAUSE_MILLIS))
-                transitions.release(host, placed, result.outcome.name.lowercase())
+                startRefused(host, placed, result.outcome, moment)
             }
-            StartOutcome.LATE -> transitions.release(host, placed, "late")
+            StartOutcome.LATE -> startRefused(host, placed, result.outcome, moment)
+        }
+    }
+
+    /** The refusal of one command does not rule out another one for the same run; a stop rules out all of them. */
+    private fun startRefused(
+        host: Host,
+        placed: PlacedRun,
+        outcome: StartOutcome,
+        moment: Moment,
+    ) {
+        if (!placed.hasEarlierStart) {
+            transitions.release(host, placed, outcome.name.lowercase())
+        } else if (placed.stopRequestedAt == null) {
+            transitions.stop(host, placed, StopReason.START_REFUSED, moment)
         }
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
@@ -19,14 +19,18 @@
     private val sessions: HostSessions,
     private val clock: () -> Moment,
 ) {
-    /** Handles [message] from [session]. Leases are extended only if [mayExtendLease]. */
+    /**
+     * Handles [message] from [session]. Leases are extended only if [mayExtendLease]. After the agent's first message,
+     * only the current connection of its host counts.
+     */
     fun handle(
         session: SchedulerSession,
         message: ToScheduler,
         mayExtendLease: Boolean,
     ) {
+        if (message is ToScheduler.HostHello) return connect(session, message.description)
+        if (!sessions.isCurrent(session)) return
         when (message) {
-            is ToScheduler.HostHello -> connect(session, message.description)
             is ToScheduler.HostDescribed -> describe(session, message.description)
             is ToScheduler.HostGone ->
                 scheduler.hosts.incarnationEnded(
@@ -38,21 +42,24 @@
             is ToScheduler.Report -> report(session, message.report, mayExtendLease)
             is ToScheduler.StartAnswered -> scheduler.hosts.startAnswered(message.result, clock())
             is ToScheduler.StopAnswered -> scheduler.hosts.stopAnswered(message.result)
-            is ToScheduler.Request, is ToScheduler.EntryHello, ToScheduler.Ping -> Unit
+            is ToScheduler.HostHello, is ToScheduler.Request, is ToScheduler.EntryHello, ToScheduler.Ping -> Unit
         }
     }
 
-    /** Sends the command in [effect]. If the host is not connected, it is sent again once the host has reconnected. */
-    fun start(effect: SchedulerEffect.Start) {
-        val host = scheduler.state.hosts[effect.host] ?: return
-        sessions.send(effect.host, FromScheduler.Start(effect.host, effect.command, host.leaseUntilHostClock))
+    /**
+     * Sends the command in [effect] if its run is still placed on the host. Returns true if it was sent. If the host is
+     * not connected, the command is sent again once the host has reconnected.
+     */
+    fun start(effect: SchedulerEffect.Start): Boolean {
+        val host = scheduler.state.hosts[effect.host]?.takeIf { it.isPlaced(effect.command.run) } ?: return false
+        return sessions.send(effect.host, FromScheduler.Start(effect.host, effect.command, host.leaseUntilHostClock))
     }
 
     private fun connect(
         session: SchedulerSession,
         description: HostDescription,
     ) {
-        sessions.attach(description.incarnation, session)
+        sessions.attach(description.incarnation, session)?.let { scheduler.hosts.disconnected(it) }
         scheduler.hosts.connected(description, clock())
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -128,7 +128,7 @@
             handle(session, message)
             message = next(session)
         }
-        sessions.detach(session).forEach { scheduler.hosts.disconnected(it) }
+        sessions.detach(session)?.let { scheduler.hosts.disconnected(it) }
         signal.trySend(Unit)
     }
 
@@ -163,7 +163,7 @@
         when {
             batch != null && batch.change.records.isEmpty() -> finish(batch)
             batch != null -> write(batch)
-            moment.now.millisSince(writer.lastSuccessAt) >= RENEWAL_MILLIS -> write(null)
+            !isConfirmed || moment.now.millisSince(writer.lastSuccessAt) >= RENEWAL_MILLIS -> write(null)
         }
     }
 
