Raise no error when a connection is closed while a write waits

What was seen: an agent that closes a connection to an entry that has stopped reading never connected to it again. Cause: a frame waits in the channel's flush once the peer has left 1 MiB unread. Closing the socket flushes the same channel, and Ktor ends the earlier of two waiting flushes with ConcurrentIOException, which is not an IOException. In the agent it ended the coroutine that connects again; on other processes it was an uncaught error. Change: close() first ends the write that is in progress, which then fails with an IOException like any other. Remains: the socket itself stayed open in a trial for the 2 s that were observed, because Ktor waits for the peer to read.

--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FramedConnection.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FramedConnection.kt
@@ -33,6 +33,9 @@
     private val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
     private val queue = Channel<O>(QUEUED_FRAMES_MAXIMUM)
 
+    @Volatile
+    private var isWriting = false
+
     /** Address of the peer. */
     public val remoteAddress: String = socket.remoteAddress.toString()
 
@@ -55,6 +58,8 @@
     /** Closes the connection and drops the queued messages. */
     public fun close() {
         queue.close()
+        // The socket flushes when it closes. Two flushes at once, of which one waits for the peer, are not supported.
+        if (isWriting) writer.cancel(IOException("the connection was closed"))
         socket.close()
     }
 
@@ -86,9 +91,11 @@
     }
 
     private suspend fun writeFrame(bytes: ByteArray) {
+        isWriting = true
         writer.writeInt(bytes.size)
         writer.writeByteArray(bytes)
         writer.flush()
+        isWriting = false
     }
 
     private companion object {
