Connect to an entry again after a message has raised an error

Cause: an error raised while a message is handled, a heartbeat is built or a frame is written left EntryConnection.run, whose coroutine is started once. The agent then had no connection to that entry until it was started again. Change: such an error ends the connection, is the logged reason, and the agent connects again after its usual pause.

--- a/agent/src/main/kotlin/org/greengagepass/agent/connection/EntryConnection.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/connection/EntryConnection.kt
@@ -1,9 +1,11 @@
 /*
- * Keeps one connection to one entry. A connection without heartbeat answers for three seconds is closed, and the agent
- * connects again with the same incarnation.
+ * Keeps one connection to one entry. A connection without heartbeat answers for three seconds is closed, and so is one
+ * whose messages raise an unexpected error. The agent then connects again with the same incarnation.
  */
 package org.greengagepass.agent.connection
 
+import arrow.core.Either
+import arrow.core.getOrElse
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -73,7 +75,8 @@
                     incoming = MessageCodec(EntryMessage.serializer()),
                     timeoutMillis = CONNECT_TIMEOUT_MILLIS,
                 )
-            framedConnection.fold({ listener.onDisconnected(this, it.detail) }, { serve(it) })
+            val reason = framedConnection.fold({ it.detail }, { connection -> serveCatching(connection) })
+            listener.onDisconnected(this, reason)
             delay(backoffMillis)
             backoffMillis = minOf(backoffMillis * 2, BACKOFF_MAXIMUM_MILLIS)
         }
@@ -87,7 +90,11 @@
         openConnection?.closeAfterQueued()
     }
 
-    private suspend fun serve(framedConnection: FramedConnection<AgentMessage, EntryMessage>) {
+    /** Serves the connection and returns why it has ended. */
+    private suspend fun serveCatching(framedConnection: FramedConnection<AgentMessage, EntryMessage>): String =
+        Either.catch { serve(framedConnection) }.getOrElse { "unexpected error: $it" }
+
+    private suspend fun serve(framedConnection: FramedConnection<AgentMessage, EntryMessage>): String {
         openConnection = framedConnection
         monitor = ConnectionMonitor(listener.now())
         var reason = "the connection ended"
@@ -112,7 +119,7 @@
             openConnection = null
             isWelcomed = false
         }
-        listener.onDisconnected(this, reason)
+        return reason
     }
 
     /** Receives messages until the connection ends and returns the reason. */
