Release the slot of a request that can't be sent to its upstream

What was seen: nothing in a deployment; found by reading. Cause: building the HTTP request fails for a header value with a line break or an address that is not a URI. The error ended the coroutine of the call before the decision about its end, so the slot stayed occupied and the entry got no answer. As many such requests as there are slots made the service unreachable on that host until it was restarted. Change: an unexpected error of the call is an unknown outcome with code INTERNAL, which releases the slot. Measured: the new test timed out after 15 s on the earlier code ("invalid header value" uncaught on the agent's thread) and passed in 2 of 2 runs with the change, own runner, machine at load 30 to 35.

--- a/agent/src/main/kotlin/org/greengagepass/agent/request/RequestService.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/request/RequestService.kt
@@ -4,16 +4,20 @@
  */
 package org.greengagepass.agent.request
 
+import arrow.core.Either
+import arrow.core.getOrElse
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.greengagepass.agent.process.AgentLog
 import org.greengagepass.agent.process.AgentMetrics
 import org.greengagepass.agent.process.Span
 import org.greengagepass.core.RequestId
+import org.greengagepass.core.ResultCode
 import org.greengagepass.core.Timestamp
 import org.greengagepass.core.connection.AttemptId
 import org.greengagepass.core.connection.Inquiry
 import org.greengagepass.core.connection.InquiryResult
+import org.greengagepass.core.request.RequestOutcome
 import org.greengagepass.protocol.connection.AgentMessage
 import org.greengagepass.protocol.connection.EntryMessage.Dispatch
 import org.greengagepass.services.process.UpstreamAnnouncement
@@ -89,7 +93,10 @@
                 body = dispatch.body,
             )
         val remainingMillis = dispatch.deadlineAgentClock.millisSince(context.now()).coerceAtLeast(1)
-        val outcome = context.upstreams.call(call.address, request, remainingMillis)
+        val outcome =
+            Either
+                .catch { context.upstreams.call(call.address, request, remainingMillis) }
+                .getOrElse { RequestOutcome.Unknown(ResultCode.INTERNAL, "the call to the upstream failed: $it") }
         carryOut(handler.completed(call.address, dispatch, outcome, context.now()))
     }
 
--- a/agent/src/test/kotlin/org/greengagepass/agent/AgentTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/AgentTest.kt
@@ -69,6 +69,16 @@
             expectThat(platform.executor.statistics().refused).isEqualTo(0)
         }
 
+    /** Guards against slots that stay occupied after requests that can't be sent. */
+    @Test
+    fun `requests that can not be sent to the upstream release their slots`() =
+        withAgent {
+            (1..3).forEach { entry.dispatch("line\nbreak-$it#1") }
+            (1..3).forEach { entry.awaitAnswer("line\nbreak-$it#1") }
+            entry.dispatch("next#1")
+            expectThat(entry.awaitAnswer("next#1")).isA<RequestOutcome.Ran>()
+        }
+
     /** Guards against new work in a failure domain that is out of service. */
     @Test
     fun `requests and starts are refused while the failure domain is out of service`() =
