Close the connection to the leader when a message raises an error

What was seen: nothing in a deployment; found by reading. Cause: the dialer is started again after an unexpected error, but the connection it held was never closed: a socket and a writing coroutine more after each error, for as long as the process ran. Change: the connection is closed on every way out.

--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerDialer.kt
@@ -85,11 +85,14 @@
                 { it },
             ) ?: return false
         connection.start(scope)
-        connection.send(hello)
-        val isLeader = awaitWelcome(address, connection)
-        if (isLeader) receive(connection)
-        connection.close()
-        return isLeader
+        try {
+            connection.send(hello)
+            val isLeader = awaitWelcome(address, connection)
+            if (isLeader) receive(connection)
+            return isLeader
+        } finally {
+            connection.close()
+        }
     }
 
     private suspend fun awaitWelcome(
--- a/protocol/src/test/kotlin/org/greengagepass/protocol/connection/SchedulerDialerTest.kt
+++ b/protocol/src/test/kotlin/org/greengagepass/protocol/connection/SchedulerDialerTest.kt
@@ -5,6 +5,9 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -18,12 +21,15 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
 import java.io.DataInputStream
 import java.io.DataOutputStream
 import java.io.IOException
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
@@ -32,6 +38,7 @@
     private val outgoing = MessageCodec(FromScheduler.serializer())
     private val incoming = MessageCodec(ToScheduler.serializer())
     private val pings = AtomicInteger()
+    private val ended = CountDownLatch(1)
     private val listener = RecordingListener("127.0.0.1:${server.localPort}")
 
     @AfterEach
@@ -74,6 +81,21 @@
         }
     }
 
+    @Test
+    fun `a connection whose message raises an error is closed`() {
+        // Guards against connections that stay open for as long as the process runs.
+        serve(answersPings = true)
+        val connector = FrameConnector(Dispatchers.IO)
+        val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+        listener.failure = IllegalStateException("unexpected")
+        val error =
+            runBlocking { scope.async { SchedulerDialer(connector, scope, listener).run() }.runCatching { await() } }
+        expectThat(error.exceptionOrNull()?.message).isEqualTo("unexpected")
+        expectThat(ended.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue()
+        scope.cancel()
+        connector.close()
+    }
+
     private fun dial(check: suspend () -> Unit) =
         runBlocking {
             FrameConnector(Dispatchers.IO).use { connector ->
@@ -137,6 +159,7 @@
             while (true) answerOne(input, output, answersPings)
         } catch (_: IOException) {
             // The dialer has closed the connection.
+            ended.countDown()
         }
     }
 
@@ -163,6 +186,7 @@
         val disconnected = AtomicInteger()
         val messages = AtomicInteger()
         override var needsPingsOnlyInSilence = false
+        var failure: IllegalStateException? = null
 
         override fun addresses() = listOf(address)
 
@@ -178,6 +202,7 @@
 
         override fun onMessage(message: FromScheduler) {
             messages.incrementAndGet()
+            failure?.let { throw it }
         }
 
         override fun isCurrent() = true
