Close a connection when its handler has raised an error

What was seen: nothing in a deployment; found by reading. Cause: an error in the handler of an accepted connection ended its coroutine and left the connection open, so that its client waited for the answer of nobody until its own limit for silence. Change: the listener logs the error and closes the connection.

--- a/entry/src/main/kotlin/org/greengagepass/entry/process/TcpListener.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/TcpListener.kt
@@ -1,8 +1,10 @@
 /*
- * Listens for TCP connections and passes each one to a handler in a coroutine of its own.
+ * Listens for TCP connections and passes each one to a handler in a coroutine of its own. An unexpected error in the
+ * handler closes its connection.
  */
 package org.greengagepass.entry.process
 
+import arrow.core.Either
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.InetSocketAddress
 import io.ktor.network.sockets.ServerSocket
@@ -41,13 +43,20 @@
         try {
             while (true) {
                 val socket = serverSocket.accept()
-                scope.launch { onConnection(socket) }
+                scope.launch { serve(socket) }
             }
         } catch (cause: IOException) {
             logger.info("listener on port {} ended: {}", port, cause.message)
         }
     }
 
+    private suspend fun serve(socket: Socket) {
+        Either.catch { onConnection(socket) }.onLeft {
+            logger.error("unexpected error on a connection to port {}, which is closed", port, it)
+            socket.close()
+        }
+    }
+
     private companion object {
         private val logger = LogManager.getLogger(TcpListener::class.java)
     }
