Keep listening after a connection could not be accepted

What was seen: nothing in a deployment; found by reading. Cause: the accepting coroutine took any IOException for the end of the listener, also "Too many open files". One moment without a free file descriptor, and the entry accepted no agent and no entry until it was started again. Change: only close() ends the listener. After another IOException it logs a warning and accepts again after 100 ms. The loop did not exist before, so the test has no run on the earlier code. No run with real descriptors at their limit was made.

--- a/entry/src/main/kotlin/org/greengagepass/entry/process/TcpListener.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/TcpListener.kt
@@ -1,6 +1,7 @@
 /*
  * Listens for TCP connections and passes each one to a handler in a coroutine of its own. An unexpected error in the
- * handler closes its connection.
+ * handler closes its connection. A connection that can't be accepted, for example because the process has no free file
+ * descriptor, does not end the listener.
  */
 package org.greengagepass.entry.process
 
@@ -11,6 +12,7 @@
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import java.io.IOException
@@ -24,6 +26,9 @@
 ) {
     private lateinit var serverSocket: ServerSocket
 
+    @Volatile
+    private var isClosed = false
+
     /** Port of the listener; available once [start] has returned. */
     public val boundPort: Int
         get() = (serverSocket.localAddress as InetSocketAddress).port
@@ -36,19 +41,18 @@
 
     /** Accepts no more connections. Accepted ones stay open. */
     public fun close() {
+        isClosed = true
         serverSocket.close()
     }
 
-    private suspend fun acceptUntilClosed(scope: CoroutineScope) {
-        try {
-            while (true) {
-                val socket = serverSocket.accept()
-                scope.launch { serve(socket) }
-            }
-        } catch (cause: IOException) {
-            logger.info("listener on port {} ended: {}", port, cause.message)
+    private suspend fun acceptUntilClosed(scope: CoroutineScope) =
+        repeatUntilClosed(
+            isClosed = { isClosed },
+            onFailure = { logger.warn("no connection accepted on port {}: {}", port, it.message) },
+        ) {
+            val socket = serverSocket.accept()
+            scope.launch { serve(socket) }
         }
-    }
 
     private suspend fun serve(socket: Socket) {
         Either.catch { onConnection(socket) }.onLeft {
@@ -61,3 +65,22 @@
         private val logger = LogManager.getLogger(TcpListener::class.java)
     }
 }
+
+private const val ACCEPT_RETRY_MILLIS = 100L
+
+/** Runs [accept] until [isClosed]. After an error, which [onFailure] receives, runs it again. */
+internal suspend fun repeatUntilClosed(
+    isClosed: () -> Boolean,
+    onFailure: (IOException) -> Unit,
+    accept: suspend () -> Unit,
+) {
+    while (!isClosed()) {
+        try {
+            accept()
+        } catch (cause: IOException) {
+            if (isClosed()) return
+            onFailure(cause)
+            delay(ACCEPT_RETRY_MILLIS)
+        }
+    }
+}
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/TcpListenerTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/TcpListenerTest.kt
@@ -6,9 +6,11 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.test.runTest
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import java.io.IOException
 import java.net.Socket
 
 class TcpListenerTest {
@@ -30,6 +32,20 @@
         selector.close()
     }
 
+    @Test
+    fun `a connection that can not be accepted does not end the listener`() =
+        runTest {
+            // Guards against a process that accepts nothing more after it was out of file descriptors once.
+            var attempts = 0
+            val failures = ArrayList<IOException>()
+            repeatUntilClosed(isClosed = { attempts >= 3 }, onFailure = { failures += it }) {
+                attempts += 1
+                if (attempts == 1) throw IOException("Too many open files")
+            }
+            expectThat(attempts).isEqualTo(3)
+            expectThat(failures.map { it.message }).isEqualTo(listOf("Too many open files"))
+        }
+
     private companion object {
         private const val TIMEOUT_MILLIS = 60_000
         private const val END_OF_STREAM = -1
