Wait until a socket takes bytes, instead of repeating the write at once

Cause: the write channel of Ktor 3.5.2 (CIOWriterKt.attachForWritingDirectImpl) repeats a write inside its loop while bytes of the buffer remain, also if the socket took none; the wait for the selector comes only after the whole buffer is written. A peer that does not read, or a burst of messages larger than the socket's buffers, so keeps a thread of Dispatchers.IO, which are threads of Dispatchers.Default, busy until the peer has read. Closing the connection did not end the loop: the writer's coroutine failed with ConcurrentIOException (uncaught).

Change: FramedConnection writes frames by a SocketWriter, which suspends in the selector when the socket takes no bytes. It needs the selector of the socket, which acceptors now pass on. Reading stays with Ktor.

--- a/agent/src/test/kotlin/org/greengagepass/agent/FakeEntry.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/FakeEntry.kt
@@ -66,6 +66,7 @@
                 val connection =
                     FramedConnection(
                         socket,
+                        selector,
                         MessageCodec(EntryMessage.serializer()),
                         MessageCodec(AgentMessage.serializer()),
                     )
--- a/entry/src/main/kotlin/org/greengagepass/entry/connection/AgentHub.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/connection/AgentHub.kt
@@ -5,6 +5,7 @@
 package org.greengagepass.entry.connection
 
 import arrow.core.Either
+import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
@@ -35,9 +36,10 @@
     public fun onDisconnected(session: AgentSession)
 }
 
-/** Accepts connections of agents and keeps their sessions. */
+/** Accepts connections of agents, which are registered with [selector], and keeps their sessions. */
 public class AgentHub(
     private val scope: CoroutineScope,
+    private val selector: SelectorManager,
     private val handler: AgentMessageHandler,
 ) {
     private val outgoing = MessageCodec(EntryMessage.serializer())
@@ -53,7 +55,7 @@
 
     /** Serves one accepted connection until it ends. */
     public suspend fun serve(socket: Socket) {
-        val connection = FramedConnection(socket, outgoing, incoming)
+        val connection = FramedConnection(socket, selector, outgoing, incoming)
         connection.start(scope)
         val hello = withTimeoutOrNull(SILENCE_MILLIS) { connection.receive().getOrNull() } as? AgentMessage.Hello
         when {
--- a/entry/src/main/kotlin/org/greengagepass/entry/connection/PeerServer.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/connection/PeerServer.kt
@@ -4,6 +4,7 @@
  */
 package org.greengagepass.entry.connection
 
+import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -34,17 +35,18 @@
     public suspend fun executeForwarded(forward: PeerMessage.Forward): RequestOutcome?
 }
 
-/** Answers other entries by [handler]. */
+/** Answers other entries by [handler]. Their connections are registered with [selector]. */
 public class PeerServer(
     private val self: EntryId,
     private val scope: CoroutineScope,
+    private val selector: SelectorManager,
     private val handler: PeerMessageHandler,
 ) {
     private val codec = MessageCodec(PeerMessage.serializer())
 
     /** Serves one accepted connection until it ends. */
     public suspend fun serve(socket: Socket) {
-        val connection = FramedConnection(socket, codec, codec)
+        val connection = FramedConnection(socket, selector, codec, codec)
         connection.start(scope)
         if (receivesHello(connection)) {
             connection.send(PeerMessage.PeerHello(PROTOCOL_VERSION, self))
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/EntryProcess.kt
@@ -66,10 +66,11 @@
     private val configurationSnapshots =
         ConfigurationSnapshots(log, settings.entryId.value, settings.logRetentionMillis)
     private val partitions = Partitions((0 until settings.partitions).map(::partition))
+    private val selector = SelectorManager(Dispatchers.IO)
     private val hub: AgentHub =
-        AgentHub(scope, EntryAgentMessageHandler(settings, configuration, runner, partitions, metrics))
+        AgentHub(scope, selector, EntryAgentMessageHandler(settings, configuration, runner, partitions, metrics))
     private val peerMessages = EntryPeerMessageHandler(configuration, clock) { gateway.executeForwarded(it) }
-    private val peerServer = PeerServer(settings.entryId, scope, peerMessages)
+    private val peerServer = PeerServer(settings.entryId, scope, selector, peerMessages)
     private val peers: PeerHub =
         PeerHub(
             self = settings.entryId,
@@ -82,7 +83,6 @@
     private val gateway: RequestGateway = RequestGateway(runner, partitions, peers, clock, tracing)
     private val components = EntryComponents(settings, configuration, partitions, hub, peers, runner)
     private val status = EntryStatus(components)
-    private val selector = SelectorManager(Dispatchers.IO)
     private val agentListener = TcpListener(selector, settings.agentHost, settings.agentPort, hub::serve)
     private val peerListener = TcpListener(selector, settings.agentHost, settings.peerPort, peerServer::serve)
     private val http =
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
@@ -134,6 +134,7 @@
         val session =
             FramedConnection(
                 socket,
+                selector,
                 MessageCodec(FromScheduler.serializer()),
                 MessageCodec(ToScheduler.serializer()),
             )
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FrameConnector.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FrameConnector.kt
@@ -35,7 +35,7 @@
         val target = parseAddress(address) ?: return failure("$address is not host:port").left()
         return try {
             withTimeoutOrNull(timeoutMillis) { open(target) }
-                ?.let { FramedConnection(it, outgoing, incoming).right() }
+                ?.let { FramedConnection(it, selector, outgoing, incoming).right() }
                 ?: failure("not connected to $address within $timeoutMillis ms").left()
         } catch (cause: ConnectException) {
             CodecError(ResultCode.NO_UPSTREAM, "no process listens at $address: ${cause.message}").left()
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FramedConnection.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FramedConnection.kt
@@ -8,29 +8,31 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
 import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.readByteArray
 import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.launch
 import org.greengagepass.core.ResultCode
 import java.io.IOException
+import java.nio.ByteBuffer
 
-/** Connection that sends messages of type [O] and receives messages of type [I]. */
+/**
+ * Connection that sends messages of type [O] and receives messages of type [I]. [selector] is the one that [socket]
+ * was opened with.
+ */
 public class FramedConnection<O, I>(
     private val socket: Socket,
+    selector: SelectorManager,
     private val outgoing: MessageCodec<O>,
     private val incoming: MessageCodec<I>,
 ) {
     private val reader: ByteReadChannel = socket.openReadChannel()
-    private val writer: ByteWriteChannel = socket.openWriteChannel(autoFlush = false)
+    private val writer = SocketWriter(socket, selector)
     private val queue = Channel<O>(QUEUED_FRAMES_MAXIMUM)
 
     /** Address of the peer. */
@@ -86,9 +88,8 @@
     }
 
     private suspend fun writeFrame(bytes: ByteArray) {
-        writer.writeInt(bytes.size)
-        writer.writeByteArray(bytes)
-        writer.flush()
+        val frame = ByteBuffer.allocate(Int.SIZE_BYTES + bytes.size)
+        writer.write(frame.putInt(bytes.size).put(bytes).flip())
     }
 
     private companion object {
