Lose each deregistration's acknowledgement in the soak for it

A task meets it only if it outlasts the time for which its executor drains while its agent and a leader are up.

--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformFaults.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformFaults.kt
@@ -14,7 +14,7 @@
 import kotlin.random.nextLong
 
 /**
- * Injects faults into [deployment]. If [losesDeregistrations] is true, some executors get no acknowledgement of their
+ * Injects faults into [deployment]. If [losesDeregistrations] is true, executors get no acknowledgement of their
  * deregistration, and work on for some seconds.
  */
 class PlatformFaults(
@@ -73,8 +73,7 @@
             1 -> executor.crashSilently()
             2 -> disturb(executor, random) { Disturbance.LostAnswer }
             3 -> disturb(executor, random) { Disturbance.CarriedOutLater(random.nextLong(200L..4_000L)) }
-            4 -> executor.drain(losesAcknowledgement = false)
-            5 -> executor.drain(losesAcknowledgement = losesDeregistrations)
+            4, 5 -> executor.drain(losesAcknowledgement = losesDeregistrations)
             6 -> {
                 executor.resize(SMALL_CAPACITY_CPU)
                 pause(random, 1_000L..4_000L)
