--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -55,7 +55,8 @@
                     override val pollNumber: Long get() = poller.pollNumber
 
                     override fun isCurrent(callContext: ExecutorCallContext) =
-                        this@HostSupervisor.isCurrent(callContext)
+                        lease?.let { it.incarnation == callContext.incarnation && it.epoch == callContext.epoch }
+                            ?: false
 
                     override fun hasExpired(callContext: ExecutorCallContext) =
                         callContext.leaseUntilHostClock?.let { executorClock.hasPassed(callContext.incarnation, it) }
@@ -189,9 +190,6 @@
             }
     }
 
-    private fun isCurrent(callContext: ExecutorCallContext): Boolean =
-        lease?.let { it.incarnation == callContext.incarnation && it.epoch == callContext.epoch } ?: false
-
     private companion object {
         private const val NANOS_PER_MILLI = 1_000_000
         private val logger = LogManager.getLogger("org.greengagepass.agent")
