Review case 5: a heartbeat of another writer starts tasks twice

Cause: the agent takes any heartbeat that decodes for its executor's, also one whose service is named nowhere, and the leader restarts all runs elsewhere. Done: a script that sends one such heartbeat to one agent.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,4 +5,4 @@
   echo "run the build of the deploy file and review/build.sh first" >&2
   exit 2
 fi
-exec "${JAVA_HOME:+$JAVA_HOME/bin/}java" -cp target/review Review givenup review/5
+exec "${JAVA_HOME:+$JAVA_HOME/bin/}java" -cp target/review Review foreign review/5
--- a/review/Review.java
+++ b/review/Review.java
@@ -11,7 +11,6 @@
     private static final Map<String, Case> CASES = Map.of(
         "cancel", new CancelCase(),
         "foreign", new ForeignHeartbeatCase(),
-        "givenup", new GivenUpCase(),
         "spread", new SpreadJobCase(),
         "waiting", new WaitingTaskCase(),
         "wide", new WideJobCase());
