Ask the executor before a heartbeat replaces it

Cause: the agent took identifier, start time and capacity from the sender of a heartbeat, and filled in missing fields. The leader releases the runs of an earlier incarnation at once. Change: heartbeats are decoded strictly, against the service of the settings file. One of another incarnation is a claim, and is accepted once the executor has answered under that identifier with that start time.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
@@ -16,6 +16,7 @@
 import org.greengagepass.platform.AnnouncementListener
 import org.greengagepass.platform.ExecutorAnnouncements
 import org.greengagepass.platform.HttpExecutorClient
+import org.greengagepass.platform.HttpIncarnationProbe
 import org.greengagepass.platform.LogStateStore
 import org.greengagepass.platform.PlatformClient
 import org.greengagepass.platform.PlatformSettings
@@ -40,16 +41,22 @@
         LeaderDirectory(LogStateStore(PlatformClient(http, settings.storeAddress))) {
             logger.info("could not read the leader's announcement: {}", it.detail)
         }
-    private val executor =
-        HttpExecutorClient(
-            selector,
-            requireNotNull(settings.executorAddress) { "the settings have no executor address" },
+    private val executorAddress =
+        requireNotNull(settings.executorAddress) { "the settings have no executor address" }
+    private val supervisor =
+        HostSupervisor(
+            executorClient = HttpExecutorClient(selector, executorAddress),
+            directory = directory,
+            seedAddresses = settings.seedAddresses,
+            scope = scope,
+            metrics = metrics,
+            probe = HttpIncarnationProbe(selector, executorAddress),
         )
-    private val supervisor = HostSupervisor(executor, directory, settings.seedAddresses, scope, metrics)
     private val announcements =
         ExecutorAnnouncements(
             address = requireNotNull(settings.announcementAddress) { "the settings have no announcement address" },
             host = HostId(settings.processName),
+            pool = settings.executorPool,
             listener = this,
             metrics = metrics::text,
         )
@@ -75,11 +82,14 @@
     }
 
     override fun onAlive(description: HostDescription) {
-        scope.launch { supervisor.onAlive(description) }
+        scope.launch { supervisor.registration.onHeartbeat(description) }
     }
 
-    override fun onDeregistered(executor: ExecutorName) {
-        scope.launch { supervisor.onDeregistered(executor) }
+    override fun onDeregistered(
+        executor: ExecutorName,
+        startedAtEpochMillis: Long?,
+    ) {
+        scope.launch { supervisor.onDeregistered(executor, startedAtEpochMillis) }
     }
 
     private companion object {
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -21,6 +21,7 @@
 import org.greengagepass.services.process.ExecutorCallContext
 import org.greengagepass.services.process.ExecutorClient
 import org.greengagepass.services.process.ExecutorFailure
+import org.greengagepass.services.process.IncarnationProbe
 import org.greengagepass.services.process.LeaderDirectory
 import org.greengagepass.services.process.runRestarting
 
@@ -30,9 +31,10 @@
     private val directory: LeaderDirectory,
     private val seedAddresses: List<String>,
     private val scope: CoroutineScope,
-    private val metrics: HostMetrics,
-    private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
+    metrics: HostMetrics,
+    probe: IncarnationProbe,
 ) : SchedulerConnectionListener {
+    private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI }
     private val executor = CrashObserver(executorClient, clock)
     private val executorClock = ExecutorClock(clock)
     private val poller =
@@ -40,10 +42,20 @@
             executor = executor,
             onFailure = ::onPollFailed,
             sendReport = {
+                registration.onReport(it.incarnation)
                 executorClock.update(it.incarnation, it.clockMillis)
                 connection?.send(ToScheduler.Report(it))
             },
         )
+
+    /** Receives the heartbeats of the executor. */
+    val registration: ExecutorRegistration =
+        ExecutorRegistration(
+            probe = probe,
+            scope = scope,
+            epoch = { maxOf(highestEpoch, directory.newest?.epoch ?: Epoch.NONE) },
+            onDescribed = { onDescribed(it, metrics) },
+        )
     private val commandHandler =
         CommandHandler(
             executor = executor,
@@ -76,8 +88,10 @@
     private var leaving: HostIncarnation? = null
     private var highestEpoch = Epoch.NONE
 
-    /** Handles an announcement of the executor. */
-    fun onAlive(announcement: HostDescription) {
+    private fun onDescribed(
+        announcement: HostDescription,
+        metrics: HostMetrics,
+    ) {
         val previous = description
         val isNewIncarnation = previous != null && previous.incarnation != announcement.incarnation
         if (previous != null && isNewIncarnation && executor.replaced(previous)) metrics.recordCrash()
@@ -101,10 +115,17 @@
      * Handles the announcement that [name] has deregistered. It works on for some seconds if the response to that is
      * lost, so it counts as gone only once it no longer listens.
      */
-    fun onDeregistered(name: ExecutorName) {
-        val current = description?.incarnation?.takeIf { it.executor == name } ?: return
-        logger.info("the executor of host {} has deregistered", current)
-        leaving = current
+    fun onDeregistered(
+        name: ExecutorName,
+        startedAtEpochMillis: Long?,
+    ) {
+        val incarnation = registration.deregistered(name, startedAtEpochMillis)
+        if (incarnation == null) {
+            logger.info("ignoring a deregistration of {}, which does not drain or has another start", name.value)
+        } else {
+            logger.info("the executor of host {} has deregistered", incarnation)
+            leaving = incarnation
+        }
     }
 
     private fun onPollFailed(
@@ -117,6 +138,7 @@
                 logger.info("the executor of host {} has ended: {}", incarnation, failure.detail)
                 connection?.send(ToScheduler.HostGone(incarnation))
                 executor.reset()
+                registration.clear()
                 description = null
                 lease = null
                 leaving = null
