Keep commands that find the queue of a connection full

Cause: a connection queues 1,024 messages and refuses further ones; the leader took refused commands for sent and never repeated them. Change: the leader keeps them in order and sends them at its next step. Where the peer waits for a message (replies to entries, answers of agents), a full queue closes the connection, and all is sent anew over the next one. A host gets at most 512 unconfirmed starts, which bounds the commands in the heap of an agent.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -44,7 +44,7 @@
             sendReport = {
                 registration.onReport(it.incarnation)
                 executorClock.update(it.incarnation, it.clockMillis)
-                connection?.send(ToScheduler.Report(it))
+                connection?.sendOrClose(ToScheduler.Report(it))
             },
         )
 
@@ -75,7 +75,7 @@
                             ?: false
 
                     override fun send(message: ToScheduler) {
-                        connection?.send(message)
+                        connection?.sendOrClose(message)
                     }
                 },
         )
@@ -107,7 +107,7 @@
                 announced.isDraining,
             )
         }
-        connection?.send(ToScheduler.HostDescribed(announced))
+        connection?.sendOrClose(ToScheduler.HostDescribed(announced))
         if (lease?.incarnation != announced.incarnation) connection?.let { follow(highestEpoch) }
     }
 
@@ -133,10 +133,10 @@
         failure: ExecutorFailure,
     ) {
         when {
-            incarnation != leaving -> connection?.send(ToScheduler.ExecutorSilent(incarnation))
+            incarnation != leaving -> connection?.sendOrClose(ToScheduler.ExecutorSilent(incarnation))
             failure is ExecutorFailure.NotListening || failure is ExecutorFailure.IncarnationMismatch -> {
                 logger.info("the executor of host {} has ended: {}", incarnation, failure.detail)
-                connection?.send(ToScheduler.HostGone(incarnation))
+                connection?.sendOrClose(ToScheduler.HostGone(incarnation))
                 executor.reset()
                 registration.clear()
                 description = null
@@ -164,7 +164,7 @@
         highestEpoch = epoch
         directory.connected(epoch, address)
         this.connection = connection
-        description?.let { connection.send(ToScheduler.HostDescribed(it)) }
+        description?.let { connection.sendOrClose(ToScheduler.HostDescribed(it)) }
         follow(epoch)
     }
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
@@ -17,12 +17,19 @@
         candidate: HostCandidate,
         isStarved: Boolean,
     ): Boolean =
-        candidate.fits(task.step) &&
+        mayStartOn(task.step, candidate) &&
+            candidate.fits(task.step) &&
             task.key !in candidate.host.runs &&
             hasLabel(task.step.constraints, candidate.host) &&
             (isStarved || (hasSpareProcessor(task.step, candidate) && staysWithinLatency(task.step, candidate))) &&
             respectsSpreadLimit(task.step.constraints, siblings, candidate.host)
 
+    /** The members of a gang are placed all at once or not at all, so they do not wait for other starts. */
+    private fun mayStartOn(
+        step: StepSpecification,
+        candidate: HostCandidate,
+    ): Boolean = candidate.takesStarts || step.coordination == StepCoordination.GANG
+
     /** A best-effort task waits if it would push serving tasks over their latency setpoint. */
     private fun staysWithinLatency(
         step: StepSpecification,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -12,6 +12,11 @@
     val host: Host,
 ) {
     private var reserved = host.reserved()
+    private var unconfirmedRuns = host.runs.values.count { !it.isConfirmed }
+
+    /** False while the host has as many starts to confirm as may be under way at a time. */
+    val takesStarts: Boolean
+        get() = unconfirmedRuns < UNCONFIRMED_RUNS_MAXIMUM
 
     /** Processor time that best-effort tasks on the host request, in thousandths of a core. */
     var spareDemandMilliCores: Long = host.spareDemandMilliCores()
@@ -31,6 +36,7 @@
     val latencyHeadroom = HashMap<String, Double>()
 
     fun addTask(step: StepSpecification) {
+        unconfirmedRuns += 1
         reserved += step.reservation
         if (step.sharing.usesSpareProcessor) {
             spareDemandMilliCores += step.demand.milliCores
@@ -40,6 +46,7 @@
     }
 
     fun removeTask(step: StepSpecification) {
+        unconfirmedRuns -= 1
         reserved -= step.reservation
         if (step.sharing.usesSpareProcessor) {
             spareDemandMilliCores -= step.demand.milliCores
@@ -67,6 +74,11 @@
             part.milliCores.toDouble() / whole.milliCores.coerceAtLeast(1),
             part.memoryMegabytes.toDouble() / whole.memoryMegabytes.coerceAtLeast(1),
         )
+
+    private companion object {
+        /** Bounds the commands, of up to 4,000 bytes each, that an agent holds in its heap of 64 MB. */
+        private const val UNCONFIRMED_RUNS_MAXIMUM = 512
+    }
 }
 
 /** Finds the best host for a task. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerEffect.kt
@@ -5,31 +5,36 @@
 
 /** An action to carry out outside the scheduler. */
 public sealed class SchedulerEffect {
+    /** A message to [host]. */
+    public sealed class ForHost : SchedulerEffect() {
+        public abstract val host: HostIncarnation
+    }
+
     /** Command [host] to start a run. */
     public data class Start(
-        val host: HostIncarnation,
+        override val host: HostIncarnation,
         val command: StartCommand,
-    ) : SchedulerEffect()
+    ) : ForHost()
 
     /** Command [host] to stop [run]. */
     public data class Stop(
-        val host: HostIncarnation,
+        override val host: HostIncarnation,
         val run: TaskRun,
         val reason: StopReason,
-    ) : SchedulerEffect()
+    ) : ForHost()
 
     /** Command [host] to execute [run] at [percent] of full speed. */
     public data class Throttle(
-        val host: HostIncarnation,
+        override val host: HostIncarnation,
         val run: TaskRun,
         val percent: Int,
-    ) : SchedulerEffect()
+    ) : ForHost()
 
     /** Acknowledge that the ends of [host] up to [through] are stored. */
     public data class AcknowledgeEnds(
-        val host: HostIncarnation,
+        override val host: HostIncarnation,
         val through: Long,
-    ) : SchedulerEffect()
+    ) : ForHost()
 
     /** Send [reply] to the call [number] of an entry. */
     public data class Reply(
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
@@ -1,6 +1,7 @@
 package org.greengagepass.core.process.jobs
 
 import org.greengagepass.core.FailureDomainName
+import org.greengagepass.core.Resources
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactlyInAnyOrder
@@ -55,6 +56,18 @@
         expectThat(batch).isNotNull().get { change.records.size }.isEqualTo(1)
     }
 
+    @Test
+    fun `a host that has many starts to confirm gets no more until it has`() {
+        // Guards against an agent whose heap is filled by the commands of one large job.
+        harness.connect(description(first, capacity = Resources(16_000, 1_000_000)), 0)
+        harness.submit("job", specification(step(taskCount = 700, milliCores = 10)), 0)
+        val begun = harness.starts(10).map { it.command.run }
+        expectThat(begun).hasSize(512)
+        expectThat(harness.starts(20)).isEmpty()
+        harness.report(first, 30, running = begun.map { running(it) })
+        expectThat(harness.starts(40)).hasSize(188)
+    }
+
     @Test
     fun `a disconnected host keeps its tasks until its lease has certainly expired`() {
         val run = harness.startOn(description(first), step())
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/CallerGateway.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/CallerGateway.kt
@@ -6,6 +6,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.filterNotNull
 import kotlinx.coroutines.flow.first
@@ -67,49 +68,65 @@
         replyDeadline: Timestamp,
     ): JobReply =
         withContext(decisions) {
-            var wasAttempted = false
+            val waitsUntil = minOf(replyDeadline, clock().plusMillis(LEADER_WAIT_MILLIS))
+            var wasSent = false
             var result: JobReply? = null
             while (result == null) {
-                val remainingMillis = replyDeadline.millisSince(clock())
-                val waitMillis = if (wasAttempted) remainingMillis else minOf(remainingMillis, LEADER_WAIT_MILLIS)
-                val client = withTimeoutOrNull(waitMillis) { leaderClient.filterNotNull().first() }
-                if (client == null) {
-                    result = withoutLeader(wasAttempted)
-                } else {
-                    val reply = executeOnce(client, request, replyDeadline)
-                    result = if (reply is JobReply.NotRun && wasAttempted) JobReply.Uncertain(reply.reason) else reply
-                    wasAttempted = true
+                val until = if (wasSent) replyDeadline else waitsUntil
+                val client = awaitClient(until)
+                val attempt = client?.let { executeOnce(it, request, replyDeadline) }
+                when (attempt) {
+                    null -> result = withoutLeader(wasSent)
+                    // The queue of the connection is full, or the client is about to be replaced.
+                    Attempt.NotSent ->
+                        if (clock() < until) delay(SEND_RETRY_MILLIS) else result = withoutLeader(wasSent)
+                    Attempt.Lost -> wasSent = true
+                    is Attempt.Replied -> result = withEarlierAttempt(attempt.reply, wasSent)
                 }
             }
             result
         }
 
-    private fun withoutLeader(wasAttempted: Boolean): JobReply =
-        if (wasAttempted) {
+    private suspend fun awaitClient(until: Timestamp): LeaderClient? =
+        withTimeoutOrNull(until.millisSince(clock())) { leaderClient.filterNotNull().first() }
+
+    /** A refusal says nothing about an earlier leader, which may have accepted the request. */
+    private fun withEarlierAttempt(
+        reply: JobReply,
+        wasSent: Boolean,
+    ): JobReply = if (reply is JobReply.NotRun && wasSent) JobReply.Uncertain(reply.reason) else reply
+
+    private fun withoutLeader(wasSent: Boolean): JobReply =
+        if (wasSent) {
             JobReply.Uncertain("the connection to the leader was lost before it replied")
         } else {
             JobReply.NotRun(RETRY_MILLIS, "no leader is available")
         }
 
-    /** Sends [request] once. Returns null if the connection or the leadership ended before the reply. */
     private suspend fun executeOnce(
         client: LeaderClient,
         request: JobRequest,
         replyDeadline: Timestamp,
-    ): JobReply? {
+    ): Attempt {
         val reply = CompletableDeferred<JobReply?>()
-        if (!client.execute(request) { reply.complete(it) }) {
-            leaderClient.compareAndSet(client, null)
-            return null
-        }
+        if (!client.execute(request) { reply.complete(it) }) return Attempt.NotSent
         val remainingMillis = replyDeadline.millisSince(clock())
-        return withTimeoutOrNull(remainingMillis) { Replied(reply.await()) }
-            .let { if (it == null) JobReply.Uncertain("the leader did not reply in time") else it.reply }
+        return withTimeoutOrNull(remainingMillis) { reply.await()?.let { Attempt.Replied(it) } ?: Attempt.Lost }
+            ?: Attempt.Replied(JobReply.Uncertain("the leader did not reply in time"))
     }
 
-    private class Replied(
-        val reply: JobReply?,
-    )
+    /** Result of sending a request once. */
+    private sealed class Attempt {
+        /** The request was not sent. */
+        data object NotSent : Attempt()
+
+        /** The connection or the leadership ended before the reply. */
+        data object Lost : Attempt()
+
+        data class Replied(
+            val reply: JobReply,
+        ) : Attempt()
+    }
 
     private companion object {
         /** A leader that was killed is replaced in about this time. After it the caller is better served elsewhere. */
@@ -117,5 +134,8 @@
 
         /** A leader that has become silent is replaced in about two seconds. */
         private const val RETRY_MILLIS = 1_000L
+
+        /** A connection writes its queue in some milliseconds. */
+        private const val SEND_RETRY_MILLIS = 20L
     }
 }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostMessages.kt
@@ -1,5 +1,5 @@
 /*
- * Passes messages from agents to the scheduler, and start commands to agents.
+ * Passes messages from agents to the scheduler.
  */
 package org.greengagepass.entry.process.jobs
 
@@ -9,14 +9,14 @@
 import org.greengagepass.core.process.jobs.IncarnationEnd
 import org.greengagepass.core.process.jobs.JobScheduler
 import org.greengagepass.core.process.jobs.Moment
-import org.greengagepass.core.process.jobs.SchedulerEffect
 import org.greengagepass.protocol.connection.FromScheduler
 import org.greengagepass.protocol.connection.ToScheduler
 
-/** Passes messages between [scheduler] and the agents connected in [sessions]. */
+/** Passes messages of the agents connected in [sessions] to [scheduler]. [commands] are those sent to them. */
 internal class HostMessages(
     private val scheduler: JobScheduler,
     private val sessions: HostSessions,
+    private val commands: HostCommands,
     private val clock: () -> Moment,
 ) {
     /**
@@ -46,20 +46,12 @@
         }
     }
 
-    /**
-     * Sends the command in [effect] if its run is still placed on the host. Returns true if it was sent. If the host is
-     * not connected, the command is sent again once the host has reconnected.
-     */
-    fun start(effect: SchedulerEffect.Start): Boolean {
-        val host = scheduler.state.hosts[effect.host]?.takeIf { it.isPlaced(effect.command.run) } ?: return false
-        return sessions.send(effect.host, FromScheduler.Start(effect.host, effect.command, host.leaseUntilHostClock))
-    }
-
     private fun connect(
         session: SchedulerSession,
         description: HostDescription,
     ) {
         sessions.attach(description.incarnation, session)?.let { scheduler.hosts.disconnected(it) }
+        commands.forget(description.incarnation)
         scheduler.hosts.connected(description, clock())
     }
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostSessions.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostSessions.kt
@@ -17,7 +17,7 @@
 internal class HostSessions {
     private val connections = HostConnections<SchedulerSession>()
 
-    /** Sends [message] to [incarnation] if it is connected. */
+    /** Sends [message] to [incarnation]. Returns false if it is not connected or its connection takes no message. */
     fun send(
         incarnation: HostIncarnation,
         message: FromScheduler,
@@ -42,6 +42,9 @@
     /** True if [session] is the current connection of a host. */
     fun isCurrent(session: SchedulerSession): Boolean = connections.isCurrent(session)
 
+    /** True if [incarnation] is connected. */
+    fun isConnected(incarnation: HostIncarnation): Boolean = connections[incarnation.host]?.incarnation == incarnation
+
     /** True if [session] is the current connection of [incarnation]. */
     fun isAttached(
         incarnation: HostIncarnation,
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -45,7 +45,8 @@
     private val context: LeaderContext,
 ) {
     private val sessions = HostSessions()
-    private val messages = HostMessages(scheduler, sessions) { context.clock() }
+    private val commands = HostCommands(scheduler, sessions)
+    private val messages = HostMessages(scheduler, sessions, commands) { context.clock() }
     private val pendingReplies = HashMap<Long, (JobReply) -> Unit>()
     private val signal = Channel<Unit>(Channel.CONFLATED)
     private val ended = CompletableDeferred<Unit>()
@@ -140,7 +141,8 @@
         message: ToScheduler,
     ) {
         when (message) {
-            is ToScheduler.Request -> execute(message.request) { session.send(FromScheduler.Reply(message.number, it)) }
+            is ToScheduler.Request ->
+                execute(message.request) { session.sendOrClose(FromScheduler.Reply(message.number, it)) }
             is ToScheduler.Ping -> session.send(FromScheduler.Pong(isStoreAvailable && !isHandingOver))
             is ToScheduler.EntryHello -> Unit
             else -> {
@@ -152,6 +154,7 @@
 
     private fun step() {
         if (context.newestEpoch() > leadership.epoch) return end()
+        commands.performWaiting()
         val moment = context.clock()
         val configuration = context.configuration()
         configuration?.let { scheduler.configure(it) }
@@ -197,13 +200,7 @@
             when (effect) {
                 is SchedulerEffect.Reply -> pendingReplies.remove(effect.number)?.invoke(effect.reply)
                 is SchedulerEffect.LogDecision -> context.decisions.write(effect.decision, leadership.epoch)
-                is SchedulerEffect.Start -> messages.start(effect)
-                is SchedulerEffect.Stop ->
-                    sessions.send(effect.host, FromScheduler.Stop(effect.host, effect.run))
-                is SchedulerEffect.Throttle ->
-                    sessions.send(effect.host, FromScheduler.Throttle(effect.host, effect.run, effect.percent))
-                is SchedulerEffect.AcknowledgeEnds ->
-                    sessions.send(effect.host, FromScheduler.AcknowledgeEnds(effect.host, effect.through))
+                is SchedulerEffect.ForHost -> commands.perform(effect)
             }
         }
     }
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/CallerGatewayTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/CallerGatewayTest.kt
@@ -72,6 +72,40 @@
             expectThat(testScheduler.currentTime).isEqualTo(3_000)
         }
 
+    @Test
+    fun `a request that finds the queue of the connection full is sent when it has room`() =
+        runTest {
+            // Guards against an entry that takes its leader for lost, and finds no other.
+            val gateway = gateway()
+            val busy = BusyLeaderClient(refusals = 3)
+            gateway.leaderClient.value = busy
+            expectThat(gateway.submit()).isEqualTo(JobReply.Accepted)
+            expectThat(gateway.leaderClient.value).isEqualTo(busy)
+        }
+
+    @Test
+    fun `a request that can't be sent is refused as not run after half a second`() =
+        runTest {
+            val gateway = gateway()
+            gateway.leaderClient.value = BusyLeaderClient(refusals = Int.MAX_VALUE)
+            expectThat(gateway.submit()).isA<JobReply.NotRun>()
+            expectThat(testScheduler.currentTime).isEqualTo(500)
+        }
+
+    /** Client whose queue is full for the first requests. */
+    private class BusyLeaderClient(
+        private var refusals: Int,
+    ) : LeaderClient {
+        override fun execute(
+            request: JobRequest,
+            reply: (JobReply?) -> Unit,
+        ): Boolean {
+            refusals -= 1
+            if (refusals < 0) reply(JobReply.Accepted)
+            return refusals < 0
+        }
+    }
+
     private class RecordingLeaderClient : LeaderClient {
         private val received = CompletableDeferred<(JobReply?) -> Unit>()
 
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/HostMessagesTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/HostMessagesTest.kt
@@ -1,7 +1,13 @@
 package org.greengagepass.entry.process.jobs
 
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
 import org.greengagepass.core.FailureDomainName
 import org.greengagepass.core.HostId
 import org.greengagepass.core.RackName
@@ -24,6 +30,7 @@
 import org.greengagepass.core.process.jobs.StartOutcome
 import org.greengagepass.core.process.jobs.StartResult
 import org.greengagepass.core.process.jobs.StepSpecification
+import org.greengagepass.core.process.jobs.StopReason
 import org.greengagepass.core.process.jobs.TaskState
 import org.greengagepass.protocol.connection.FrameConnector
 import org.greengagepass.protocol.connection.FromScheduler
@@ -34,12 +41,15 @@
 import org.junit.jupiter.api.BeforeEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
+import java.io.DataInputStream
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
 
 /** Messages that a leader reads from an agent's connection after the agent has opened a newer one. */
 class HostMessagesTest {
@@ -47,7 +57,9 @@
     private val connector = FrameConnector(Dispatchers.IO)
     private val scheduler = JobScheduler(SETTINGS, JobTable(), Timestamp(0))
     private val sessions = HostSessions()
-    private val messages = HostMessages(scheduler, sessions) { MOMENT }
+    private val commands = HostCommands(scheduler, sessions)
+    private val messages = HostMessages(scheduler, sessions, commands) { MOMENT }
+    private val accepted = ArrayList<Socket>()
     private val old = session()
     private val new = session()
     private val task
@@ -68,6 +80,7 @@
     @AfterEach
     fun close() {
         connector.close()
+        accepted.forEach { it.close() }
         server.close()
     }
 
@@ -109,10 +122,61 @@
                 .effects
                 .filterIsInstance<SchedulerEffect.Start>()
                 .single()
-        expectThat(messages.start(start)).isTrue()
+        expectThat(commands.send(start)).isTrue()
         handle(new, ToScheduler.StartAnswered(StartResult(HOST.incarnation, task.run, StartOutcome.LATE, 1)))
         expectThat(task.state).isEqualTo(TaskState.Waiting)
-        expectThat(messages.start(start)).isFalse()
+        expectThat(commands.send(start)).isFalse()
+    }
+
+    @Test
+    fun `commands beyond the queue of a connection are sent when it has room`() {
+        // Guards against tasks that are placed and never started, since only a new connection repeated a command.
+        val stops =
+            List(COMMANDS) { SchedulerEffect.Stop(HOST.incarnation, task.run.copy(number = it), StopReason.STALLED) }
+        stops.forEach(commands::perform)
+        val scope = CoroutineScope(Job() + Dispatchers.Default)
+        new.start(scope)
+        val peer = accepted.last()
+        val received =
+            runBlocking {
+                withTimeout(CONNECT_TIMEOUT_MILLIS) {
+                    val reading = async(Dispatchers.IO) { List(COMMANDS) { read(peer) } }
+                    while (reading.isActive) {
+                        commands.performWaiting()
+                        delay(STEP_MILLIS)
+                    }
+                    reading.await()
+                }
+            }
+        expectThat(received).isEqualTo(stops.map { FromScheduler.Stop(it.host, it.run) })
+        scope.cancel()
+    }
+
+    @Test
+    fun `commands that wait for a connection are dropped with it`() {
+        // Guards against a command of an earlier connection beside the one that the scheduler has decided since.
+        repeat(COMMANDS) { commands.perform(SchedulerEffect.Stop(HOST.incarnation, task.run, StopReason.STALLED)) }
+        val next = session()
+        handle(next, ToScheduler.HostHello(PROTOCOL_VERSION, HOST))
+        commands.performWaiting()
+        val scope = CoroutineScope(Job() + Dispatchers.Default)
+        next.start(scope)
+        val start =
+            scheduler
+                .takeBatch()!!
+                .effects
+                .filterIsInstance<SchedulerEffect.Start>()
+                .single()
+        commands.perform(start)
+        expectThat(read(accepted.last())).isA<FromScheduler.Start>()
+        scope.cancel()
+    }
+
+    private fun read(peer: Socket): FromScheduler? {
+        val input = DataInputStream(peer.getInputStream())
+        return MessageCodec(FromScheduler.serializer())
+            .decode(ByteArray(input.readInt()).also(input::readFully))
+            .getOrNull()
     }
 
     private fun handle(
@@ -132,11 +196,15 @@
                     MessageCodec(ToScheduler.serializer()),
                     CONNECT_TIMEOUT_MILLIS,
                 ).fold({ error(it.detail) }, { it })
-        }
+        }.also { accepted += server.accept() }
 
     private companion object {
         private const val CONNECTIONS_MAXIMUM = 8
         private const val CONNECT_TIMEOUT_MILLIS = 5_000L
+        private const val STEP_MILLIS = 10L
+
+        /** More than a connection queues. */
+        private const val COMMANDS = 5_000
         private val MOMENT = Moment(Timestamp(100), 100)
         private val JOB = JobId("0123456789abcdef")
         private val SETTINGS = SchedulerSettings(leaseMillis = 5_000, leadershipMillis = 3_000, retentionMillis = 1_000)
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FramedConnection.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/FramedConnection.kt
@@ -46,6 +46,14 @@
     /** Queues [message]. Returns false if the connection is closed or its queue is full. */
     public fun send(message: O): Boolean = queue.trySend(message).isSuccess
 
+    /**
+     * Queues [message], or closes the connection if its queue is full. For messages that the peer waits for and that
+     * are sent anew over the next connection.
+     */
+    public fun sendOrClose(message: O) {
+        if (!send(message)) close()
+    }
+
     /** Returns the next message, or why there will be none. */
     public suspend fun receive(): Either<CodecError, I> =
         try {
