Keep reading from outside after odd entries

Operators of similar systems saw processes end, or stop following, after an entry that was deeply nested, had a number too large or a port out of range. Cause, shown by tests on: trees of JSON are decoded with one call a level, and the overflow of the stack is caught nowhere; amounts near the largest number overflow in sums, so that a task fits every host in use. A poll without its lists counted as empty.

--- a/services/src/main/kotlin/org/greengagepass/services/process/Restarting.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/Restarting.kt
@@ -15,8 +15,16 @@
     work: suspend () -> Unit,
 ) {
     while (true) {
-        val error = Either.catch { work() }.leftOrNull() ?: return
+        val error = errorOf(work) ?: return
         onError(error)
         delay(RESTART_DELAY_MILLIS)
     }
 }
+
+/** An overflow of the stack ends at this frame, so unlike other errors of the virtual machine it leaves no damage. */
+private suspend fun errorOf(work: suspend () -> Unit): Throwable? =
+    try {
+        Either.catch { work() }.leftOrNull()
+    } catch (overflow: StackOverflowError) {
+        overflow
+    }
