End the repetition of a start when its run is to be stopped

The agent's log has stops that failed. Cause that fits: an agent repeats a start every 100 ms until the executor has answered, also after the leader has told it to stop the run, and starts that wait for a permit are sent without another look. If the executor answers again before the stop reaches it, the task starts then. Change: a stop withdraws the start commands of its run; starts have permits of their own, so that stops don't wait behind them, and are checked once more when they have one.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
@@ -10,6 +10,7 @@
 import org.greengagepass.core.process.jobs.StartOutcome
 import org.greengagepass.core.process.jobs.StartResult
 import org.greengagepass.core.process.jobs.StopResult
+import org.greengagepass.core.process.jobs.TaskRun
 import org.greengagepass.protocol.connection.FromScheduler
 import org.greengagepass.protocol.connection.ToScheduler
 import org.greengagepass.services.process.ExecutorCallContext
@@ -48,13 +49,25 @@
             hasExpired = context::hasExpired,
         )
 
+    /** Runs for which a stop was requested while a start command is in progress, until that has ended. */
+    private val withdrawn = HashSet<TaskRun>()
+
+    /** Numbers of start commands in progress by run. */
+    private val starting = HashMap<TaskRun, Int>()
+
     fun start(
         message: FromScheduler.Start,
         epoch: Epoch,
     ) {
         val callContext = ExecutorCallContext(message.incarnation, epoch, message.leaseUntilHostClock)
+        val run = message.command.run
+        starting.merge(run, 1, Int::plus)
         scope.launch {
-            val outcome = sender.start(callContext, message.command)
+            val outcome = sender.start(callContext, message.command) { run in withdrawn }
+            if (starting.merge(run, -1, Int::plus) == 0) {
+                starting.remove(run)
+                withdrawn.remove(run)
+            }
             metrics.recordStart(outcome)
             if (outcome != null) {
                 val result = StartResult(message.incarnation, message.command.run, outcome, context.pollNumber)
@@ -69,6 +82,7 @@
         epoch: Epoch,
     ) {
         val callContext = ExecutorCallContext(message.incarnation, epoch, leaseUntilHostClock = null)
+        if (message.run in starting) withdrawn += message.run
         scope.launch {
             if (sender.stop(callContext, message.run)) {
                 val result = StopResult(message.incarnation, message.run, context.pollNumber)
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
@@ -4,7 +4,10 @@
  */
 package org.greengagepass.agent.process.jobs
 
+import arrow.core.Either
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import org.apache.logging.log4j.LogManager
 import org.greengagepass.core.process.jobs.StartCommand
 import org.greengagepass.core.process.jobs.StartOutcome
@@ -24,20 +27,27 @@
     private val isDraining: () -> Boolean,
     private val hasExpired: (ExecutorCallContext) -> Boolean = { false },
 ) {
-    /** Returns the outcome of [command], or null if its scheduler stops being current before the outcome is known. */
+    /** Stops are not delayed by starts that the executor leaves unanswered. */
+    private val startPermits = Semaphore(STARTS_MAXIMUM)
+
+    /**
+     * Returns the outcome of [command], or null if its scheduler stops being current before the outcome is known, or if
+     * [isWithdrawn] becomes true because the run is to be stopped.
+     */
     suspend fun start(
         context: ExecutorCallContext,
         command: StartCommand,
+        isWithdrawn: () -> Boolean = { false },
     ): StartOutcome? {
         var mayHaveStarted = false
         var outcome: StartOutcome? = null
-        while (outcome == null && isCurrent(context)) {
+        while (outcome == null && isCurrent(context) && !isWithdrawn()) {
             outcome =
                 when {
                     isDraining() -> confirm(context, command.run, StartOutcome.UNAVAILABLE, mayHaveStarted)
                     hasExpired(context) -> confirm(context, command.run, StartOutcome.LATE, mayHaveStarted)
                     else ->
-                        executor.start(context, command).fold(
+                        startWhenPermitted(context, command, isWithdrawn)?.fold(
                             { failure ->
                                 mayHaveStarted = mayHaveStarted || failure is ExecutorFailure.NoAnswer
                                 log(context, command, failure)
@@ -52,6 +62,17 @@
         return outcome
     }
 
+    /** Sends the start once few enough others are unanswered. Returns null if it is not due any more. */
+    private suspend fun startWhenPermitted(
+        context: ExecutorCallContext,
+        command: StartCommand,
+        isWithdrawn: () -> Boolean,
+    ): Either<ExecutorFailure, StartOutcome>? =
+        startPermits.withPermit {
+            val isDue = isCurrent(context) && !isWithdrawn() && !isDraining() && !hasExpired(context)
+            if (isDue) executor.start(context, command) else null
+        }
+
     /** Returns true once [run] can no longer start, or false if its scheduler stops being current before that. */
     suspend fun stop(
         context: ExecutorCallContext,
@@ -106,5 +127,8 @@
     private companion object {
         private val logger = LogManager.getLogger("org.greengagepass.agent")
         private const val RETRY_MILLIS = 100L
+
+        /** Two thirds of the commands that the executor is sent at a time. */
+        private const val STARTS_MAXIMUM = 16
     }
 }
