Confirm the leadership before a cancel is answered as unknown

Cause: only GET of an unknown job looked at the confirmation of the store, and that one is valid for 3 s, longer than it takes to replace a silent leader. Change: a cancel of an unknown job waits until the store has confirmed the leadership by a write that began after it.

--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Confirmation.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Confirmation.kt
@@ -17,6 +17,9 @@
         requestedAt = moment
     }
 
+    /** True if the confirmed request was sent after [moment]. */
+    public fun isLaterThan(moment: Moment): Boolean = (requestedAt ?: return false).now > moment.now
+
     /** True if the confirmation is valid at [moment]. */
     public fun isValid(moment: Moment): Boolean {
         val requested = requestedAt ?: return false
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -47,6 +47,7 @@
     private val sessions = HostSessions()
     private val commands = HostCommands(scheduler, sessions)
     private val messages = HostMessages(scheduler, sessions, commands) { context.clock() }
+    private val unconfirmed = UnconfirmedRequests(confirmation)
     private val pendingReplies = HashMap<Long, (JobReply) -> Unit>()
     private val signal = Channel<Unit>(Channel.CONFLATED)
     private val ended = CompletableDeferred<Unit>()
@@ -96,14 +97,25 @@
         reply: (JobReply) -> Unit,
     ) {
         val moment = context.clock()
-        if (request is JobRequest.Submit && !isStoreAvailable && scheduler.state.jobs[request.id] == null) {
-            reply(JobReply.NotRun(RETRY_MILLIS, "the state store is unavailable"))
-            return
-        }
-        if (request is JobRequest.Find && scheduler.state.jobs[request.id] == null && !isConfirmed) {
-            reply(JobReply.Uncertain("a later leader may know the job"))
-            return
+        val isKnown = request.job?.let { scheduler.state.jobs[it] } != null
+        when {
+            request is JobRequest.Submit && !isStoreAvailable && !isKnown ->
+                reply(JobReply.NotRun(RETRY_MILLIS, "the state store is unavailable"))
+            request is JobRequest.Find && !isConfirmed && !isKnown ->
+                reply(JobReply.Uncertain("a later leader may know the job"))
+            request is JobRequest.Cancel && !isKnown -> {
+                unconfirmed.add(UnconfirmedRequest(request, moment, reply))
+                signal.trySend(Unit)
+            }
+            else -> decide(request, reply, moment)
         }
+    }
+
+    private fun decide(
+        request: JobRequest,
+        reply: (JobReply) -> Unit,
+        moment: Moment,
+    ) {
         lastCall += 1
         pendingReplies[lastCall] = reply
         when (request) {
@@ -123,19 +135,15 @@
         hello: ToScheduler,
     ) {
         session.send(FromScheduler.Welcome(leadership.epoch))
-        handle(session, hello)
-        var message = next(session)
+        var message: ToScheduler? = hello
         while (message != null && isActive) {
             handle(session, message)
-            message = next(session)
+            message = withTimeoutOrNull(SchedulerDialer.SILENCE_MILLIS) { session.receive().getOrNull() }
         }
         sessions.detach(session)?.let { scheduler.hosts.disconnected(it) }
         signal.trySend(Unit)
     }
 
-    private suspend fun next(session: SchedulerSession): ToScheduler? =
-        withTimeoutOrNull(SchedulerDialer.SILENCE_MILLIS) { session.receive().getOrNull() }
-
     private fun handle(
         session: SchedulerSession,
         message: ToScheduler,
@@ -161,12 +169,15 @@
         // Without a confirmation another leader may have extended leases, so nothing can be concluded from their times.
         if (confirmation.isValid(moment)) scheduler.tick(moment, mayStart = configuration != null)
         perform(scheduler.takeImmediate())
+        unconfirmed.takeConfirmed().forEach { decide(it.request, it.reply, moment) }
         if (isWriting) return
         val batch = scheduler.takeBatch()
         when {
             batch != null && batch.change.records.isEmpty() -> finish(batch)
             batch != null -> write(batch)
-            !isConfirmed || moment.now.millisSince(writer.lastSuccessAt) >= RENEWAL_MILLIS -> write(null)
+            unconfirmed.isWaiting || !isConfirmed || moment.now.millisSince(
+                writer.lastSuccessAt,
+            ) >= RENEWAL_MILLIS -> write(null)
         }
     }
 
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeaderTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/LeaderTest.kt
@@ -113,6 +113,26 @@
             expectThat(replies[1]).isA<JobReply.Uncertain>()
         }
 
+    @Test
+    fun `a cancel of an unknown job is answered once the store has confirmed the leadership since`() =
+        runTest {
+            // Guards against "unknown" by a leader that was suspended and replaced: the job runs on at its successor.
+            val leader = leader()
+            val leading = launch { leader.run() }
+            delay(100)
+            val replies = ArrayList<JobReply>()
+            leader.execute(JobRequest.Cancel(JOB)) { replies += it }
+            expectThat(replies.size).isEqualTo(0)
+            delay(200)
+            expectThat(replies).isEqualTo(arrayListOf(JobReply.Unknown))
+            store.failures += StoreFailure.Fenced("fenced")
+            leader.execute(JobRequest.Cancel(JOB)) { replies += it }
+            delay(200)
+            expectThat(leader.isActive).isFalse()
+            expectThat(replies.size).isEqualTo(1)
+            leading.join()
+        }
+
     @Test
     fun `an unexpected error ends the leadership and not only its decisions`() =
         runTest {
--- a/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerMessage.kt
+++ b/protocol/src/main/kotlin/org/greengagepass/protocol/connection/SchedulerMessage.kt
@@ -23,6 +23,9 @@
 /** A caller's request about a job. */
 @Serializable
 public sealed class JobRequest {
+    /** The job that the request is about, or null if it is about a queue. */
+    public abstract val job: JobId?
+
     /** Submit a job. */
     @Serializable
     @SerialName("submit")
@@ -30,28 +33,36 @@
         val id: JobId,
         val queue: QueueDefinition,
         val specification: JobSpecification,
-    ) : JobRequest()
+    ) : JobRequest() {
+        override val job: JobId get() = id
+    }
 
     /** Cancel a job. */
     @Serializable
     @SerialName("cancel")
     public data class Cancel(
         val id: JobId,
-    ) : JobRequest()
+    ) : JobRequest() {
+        override val job: JobId get() = id
+    }
 
     /** Return the state of a job. */
     @Serializable
     @SerialName("find")
     public data class Find(
         val id: JobId,
-    ) : JobRequest()
+    ) : JobRequest() {
+        override val job: JobId get() = id
+    }
 
     /** Count the jobs in a queue that have not begun. */
     @Serializable
     @SerialName("pending")
     public data class CountPending(
         val queue: QueueName,
-    ) : JobRequest()
+    ) : JobRequest() {
+        override val job: JobId? get() = null
+    }
 }
 
 /** A message to the leader. */
