Leave a task to run that stood still on two hosts

Cause: the stop of a run that stands still had no bound for one task. Change: a task that was stopped for this on two hosts is not stopped again. The new test fails on: the task is stopped until no host is left. The test for large spread jobs lands here with the same file.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobTask.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobTask.kt
@@ -52,6 +52,9 @@
     /** Number of moves because the task was throttled to protect serving tasks. */
     internal var interferenceMoves: Int = 0
 
+    /** Number of runs that were stopped because they used no processor time. */
+    internal var stalls: Int = 0
+
     /** Host of the last failed or stalled run; other hosts are preferred. */
     public var failedOn: HostIncarnation? = null
         internal set
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/StalledRunStopper.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/StalledRunStopper.kt
@@ -14,6 +14,7 @@
         state.hosts.all().filter { it.isConnected }.forEach { host ->
             host.runs.values.filter { isStalled(host, it, moment) }.forEach { placed ->
                 transitions.stop(host, placed, StopReason.STALLED, moment)
+                placed.task.stalls += 1
                 placed.task.failedOn = host.incarnation
                 val pauseMillis = state.reliability.failed(host.incarnation, placed.task.key, failedBeforeOn = null)
                 host.pauseUntil(moment.now.plusMillis(pauseMillis))
@@ -35,10 +36,19 @@
         return moment.now.millisSince(since) >= state.settings.stalledMillis
     }
 
-    /** True if the run uses no processor time at full speed. Excludes serving tasks, which report their latency. */
+    /**
+     * True if the run uses no processor time at full speed. Excludes serving tasks, which report their latency, and
+     * tasks that stood still on other hosts before, which most likely wait for input.
+     */
     private fun isIdle(placed: PlacedRun): Boolean =
         placed.stopRequestedAt == null &&
+            placed.task.stalls < STALLS_MAXIMUM &&
             placed.speedPercent == PlacedRun.FULL_SPEED_PERCENT &&
             !placed.isServing &&
             placed.lastStatus?.measurement == 0
+
+    private companion object {
+        /** Two hosts may fail alike, as the machines of a rack do. */
+        private const val STALLS_MAXIMUM = 2
+    }
 }
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 
@@ -16,6 +17,7 @@
     private val first = incarnation("first")
     private val second = incarnation("second")
     private val harness = SchedulerHarness()
+    private val confirmed = HashMap<HostIncarnation, MutableList<RunStatus>>()
 
     @Test
     fun `a job is accepted only once it is stored`() {
@@ -68,6 +70,53 @@
         expectThat(harness.starts(40)).hasSize(188)
     }
 
+    @Test
+    fun `a task that uses no processor time on several hosts in turn is left to run`() {
+        // Guards against tasks that wait for input and are stopped and begun again without end.
+        val hosts = listOf(first, second, incarnation("third"), incarnation("fourth"))
+        hosts.forEach { harness.connect(description(it), 0) }
+        harness.submit("job", specification(step()), 0)
+        var now = 10L
+        var stops = 0
+        var current = harness.starts(now).single()
+        repeat(STALL_REPORTS) {
+            now += REPORT_MILLIS
+            hosts.filter { it != current.host }.forEach { harness.report(it, now) }
+            harness.report(current.host, now, running = listOf(running(current.command.run, measurement = 0)))
+            val effects = harness.effects(now)
+            if (effects.any { it is SchedulerEffect.Stop }) {
+                stops += 1
+                val end = RunEnd(1, current.command.run, RunOutcome.STOPPED, "")
+                harness.report(current.host, now + 1, ends = listOf(end))
+                current = harness.starts(now + 2).single()
+            }
+        }
+        expectThat(stops).isEqualTo(2)
+    }
+
+    @Test
+    fun `a large job that is spread over hosts is placed within the silence that replaces a leader`() {
+        // Guards against leaders that are replaced one after the other while they place one job.
+        val hosts = List(10) { incarnation("host-$it") }
+        hosts.forEach { harness.connect(description(it, capacity = Resources(100_000, 10_000_000)), 0) }
+        val constraints = StepConstraints(tasksPerHostMaximum = 1_000)
+        harness.submit("job", specification(step(taskCount = 10_000, milliCores = 10, constraints = constraints)), 0)
+        var begun = 0
+        var now = 10L
+        while (begun < 10_000) {
+            val before = System.nanoTime()
+            val starts = harness.starts(now)
+            expectThat((System.nanoTime() - before) / NANOS_PER_MILLI).isLessThan(SILENCE_MILLIS)
+            begun += starts.size
+            starts.groupBy { it.host }.forEach { (host, placed) ->
+                confirmed.getOrPut(host) { ArrayList() } += placed.map { running(it.command.run) }
+            }
+            now += REPORT_MILLIS
+            hosts.forEach { harness.report(it, now, running = confirmed[it].orEmpty()) }
+        }
+        expectThat(confirmed.values.map { it.size }.distinct()).isEqualTo(listOf(1_000))
+    }
+
     @Test
     fun `a disconnected host keeps its tasks until its lease has certainly expired`() {
         val run = harness.startOn(description(first), step())
@@ -256,4 +305,13 @@
         expectThat(harness.starts(10).groupBy { it.host }.mapValues { it.value.size })
             .isEqualTo(mapOf(first to 2, second to 2))
     }
+
+    private companion object {
+        private const val REPORT_MILLIS = 400L
+        private const val STALL_REPORTS = 40
+        private const val NANOS_PER_MILLI = 1_000_000L
+
+        /** A leader from which nothing is heard for this long is replaced. */
+        private const val SILENCE_MILLIS = 1_200L
+    }
 }
