Count the runs of a host for the limit of a spread step

Callers saw LOST (spread): one job of 10,000 tasks with anti-affinity held up each leader for over 5 s, and all leases expired. Cause: for each task and host all siblings were looked up, 10^9 look-ups in one round on the thread of decisions. Change: the runs of the host are counted, which the limit of unconfirmed starts bounds to some hundreds a round.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
@@ -8,12 +8,11 @@
     private val state: SchedulerState,
 ) {
     /**
-     * True if [task], one of [siblings], may be placed on [candidate]. For a task whose job has waited for too long
+     * True if [task] may be placed on [candidate]. For a task whose job has waited for too long
      * ([isStarved]), spare processor time and latency are not checked; it is throttled as far as serving tasks need.
      */
     fun isFeasible(
         task: JobTask,
-        siblings: List<JobTask>,
         candidate: HostCandidate,
         isStarved: Boolean,
     ): Boolean =
@@ -22,7 +21,7 @@
             task.key !in candidate.host.runs &&
             hasLabel(task.step.constraints, candidate.host) &&
             (isStarved || (hasSpareProcessor(task.step, candidate) && staysWithinLatency(task.step, candidate))) &&
-            respectsSpreadLimit(task.step.constraints, siblings, candidate.host)
+            respectsSpreadLimit(task, candidate.host)
 
     /** The members of a gang are placed all at once or not at all, so they do not wait for other starts. */
     private fun mayStartOn(
@@ -56,14 +55,19 @@
         host: Host,
     ): Boolean = constraints.requiredLabel == null || constraints.requiredLabel in host.description.labels
 
-    /** Runs that are being stopped count too, since they stay on the host until their end is listed. */
+    /**
+     * Runs that are being stopped count too, since they stay on the host until their end is listed. Counts the runs of
+     * the host and not the tasks of the step, of which there may be 10,000.
+     */
     private fun respectsSpreadLimit(
-        constraints: StepConstraints,
-        siblings: List<JobTask>,
+        task: JobTask,
         host: Host,
     ): Boolean {
-        val maximum = constraints.tasksPerHostMaximum ?: return true
-        return siblings.count { it.key in host.runs } < maximum
+        val maximum = task.step.constraints.tasksPerHostMaximum ?: return true
+        val key = task.key
+        val siblings =
+            host.runs.keys.count { it.step == key.step && it.occurrence == key.occurrence && it.job == key.job }
+        return siblings < maximum
     }
 
     /** A single task may request more than is spare, since it could never run on a small host otherwise. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -131,7 +131,7 @@
         isStarved: Boolean = false,
     ): HostCandidate? =
         candidates
-            .filter { state.trials.allow(task, it.host) && constraints.isFeasible(task, siblings, it, isStarved) }
+            .filter { state.trials.allow(task, it.host) && constraints.isFeasible(task, it, isStarved) }
             .minByOrNull { score(task, siblings, it) + slownessCost(it.host, now) }
 
     private fun score(
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
@@ -98,10 +98,7 @@
         task: JobTask,
         candidate: HostCandidate,
         constraints: HostConstraints,
-    ): Boolean {
-        val siblings = state.jobs[task.key.job]?.tasksOf(task.key.occurrence, task.key.step).orEmpty()
-        return constraints.isFeasible(task, siblings, candidate, isStarved = true)
-    }
+    ): Boolean = constraints.isFeasible(task, candidate, isStarved = true)
 
     private fun suspectJob(host: Host): JobId? =
         host.runs.values
