--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.all
+import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
@@ -165,6 +166,26 @@
         expectThat(stops.map { it.host to it.run }).isEqualTo(listOf(other.host to other.command.run))
     }
 
+    @Test
+    fun `suspects start within the time that a task may wait although long trials hold the hosts`() {
+        // Guards against tasks that never start again after crashes, with most of the capacity free.
+        hosts.forEach { harness.connect(description(it), 0) }
+        val recurring = CrashHistory(losses = 3, longestAgeMillis = 5_000)
+        val once = CrashHistory(suspicions = 1)
+        val jobs = List(8) { "recurring-$it" to recurring } + List(8) { "once-$it" to once } + ("sound" to CrashHistory())
+        jobs.forEach { (id, history) ->
+            harness.submit(id, specification(step()), 0)
+            harness.scheduler.state.jobs[JobId(id)]
+                ?.let { SuspectRuns(harness.scheduler.state).update(it, it.tasks.single(), history) }
+        }
+        val begun = HashMap<HostIncarnation, List<TaskRun>>()
+        for (now in 10L..WAIT_MILLIS step 100) {
+            harness.starts(now).forEach { begun.merge(it.host, listOf(it.command.run), List<TaskRun>::plus) }
+            hosts.forEach { host -> harness.report(host, now + 1, running = begun[host].orEmpty().map { running(it) }) }
+        }
+        expectThat(begun.values.flatten().map { it.task.job.value }).containsExactlyInAnyOrder(jobs.map { it.first })
+    }
+
     /** Runs the histories with [faults], in which no task may be started too often, and checks each by [check]. */
     private fun expectFewStarts(
         faults: CrashFaults,
@@ -198,6 +219,9 @@
         private const val HISTORIES = 40
         private const val RUN_MILLIS = 60_000L
 
+        /** The users' rule LOST: a task that could run waits for less than 3 s. */
+        private const val WAIT_MILLIS = 3_000L
+
         /** The users' rule: after three crashes a task is not started three times more. */
         private const val STARTS_MAXIMUM = 5
     }
