--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformDeployment.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformDeployment.kt
@@ -21,6 +21,8 @@
     val name: String,
     val executorName: String,
     val executor: ExecutorStandIn,
+    /** Where the agent listens for the executor, as `host:port`. */
+    val announcementAddress: String,
     val settings: String,
 )
 
@@ -70,6 +72,7 @@
                 name = name,
                 executorName = place.name,
                 executor = ExecutorStandIn(place, history),
+                announcementAddress = place.agentAddress,
                 settings = settings.agent(name, "127.0.2.$number", place),
             )
         }
