--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobRecords.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobRecords.kt
@@ -65,6 +65,9 @@
     fun definition(job: Job): StateRecord =
         StateRecord(DEFINITION_PREFIX + job.id.value, format.encodeToByteArray(job.definition))
 
+    /** Length of [specification] in the record of a job's definition, in bytes. */
+    fun bytesOf(specification: JobSpecification): Int = format.encodeToByteArray(specification).size
+
     fun progress(job: Job): StateRecord =
         StateRecord(PROGRESS_PREFIX + job.id.value, format.encodeToByteArray(progressOf(job)))
 
@@ -127,8 +130,18 @@
     }
 }
 
-/** Decodes stored jobs. */
+/** Stored jobs. */
 public object StoredJobs {
+    /**
+     * Longest specification that the scheduler takes, in bytes. A message between its processes has up to 1 MiB, and
+     * the store takes 2 MiB in one call.
+     */
+    public const val SPECIFICATION_BYTES_MAXIMUM: Int = 900_000
+
+    /** True if [specification] can be sent to the leader and stored. */
+    public fun canStore(specification: JobSpecification): Boolean =
+        JobRecords.bytesOf(specification) <= SPECIFICATION_BYTES_MAXIMUM
+
     /** Decodes the jobs in [records], which hold the newest record of each key. */
     public fun decode(records: List<StateRecord>): List<Job> = JobRecords.jobs(records)
 }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
@@ -1,8 +1,8 @@
 /*
  * Hosts that are set aside for suspects: tasks under which an executor has crashed. A host on trial takes the suspects
  * of one job and no other task until they have lasted for their trial, so that a second crash has one job to blame.
- * Runs that are proven not to crash their executor stay there. A trial may last for 10 s and hosts are few, so a suspect
- * that has waited too long is placed like other tasks.
+ * Runs that are proven not to crash their executor stay there. A trial may last for 10 s and hosts are few, so a
+ * suspect that has waited too long is placed like other tasks.
  */
 package org.greengagepass.core.process.jobs
 
@@ -17,11 +17,7 @@
     /** Job whose suspects alone may be placed on a host, as of the last round of placement. */
     private var exclusiveJobs = mapOf<HostIncarnation, JobId>()
 
-    /** When each waiting suspect was first seen to wait. */
-    private val waitingSince = HashMap<TaskKey, Timestamp>()
-
-    /** Waiting suspects that are placed like other tasks, as of the last round of placement. */
-    private var overdue = setOf<TaskKey>()
+    private val waits = SuspectWaits()
 
     /** Sets hosts among [candidates] aside for the waiting suspects of [jobs], in their order. */
     fun reserve(
@@ -31,8 +27,7 @@
         now: Timestamp,
     ) {
         if (state.suspectJobs.isEmpty() && exclusiveJobs.isEmpty()) {
-            waitingSince.clear()
-            overdue = emptySet()
+            waits.update(emptyList(), now)
             return
         }
         val suspects =
@@ -42,7 +37,7 @@
         state.suspectJobs.retainAll(suspects.filterValues { it.isNotEmpty() }.keys.mapTo(HashSet()) { it.id })
         val byIncarnation = candidates.associateBy { it.host.incarnation }
         val waiting = suspects.mapValues { (_, tasks) -> tasks.filter { isWaiting(it, now) } }
-        updateWaiting(waiting.values.flatten(), now)
+        waits.update(waiting.values.flatten(), now)
         jobsByHost.entries.removeIf { (host, id) ->
             val candidate = byIncarnation[host]
             val tasks = state.jobs[id]?.let { waiting[it] }.orEmpty()
@@ -50,8 +45,7 @@
                 (!hasSuspectOf(candidate.host, id) && tasks.none { mayTry(it, candidate, constraints) })
         }
         waiting.filterValues { it.isNotEmpty() }.forEach { (job, tasks) ->
-            val hasWaitedLong = tasks.any { hasWaited(it, MORE_HOSTS_AFTER_MILLIS, now) }
-            val share = if (hasWaitedLong) EXCLUSIVE_SHARE else RESERVED_SHARE
+            val share = if (tasks.any(waits::needsMoreHosts)) EXCLUSIVE_SHARE else RESERVED_SHARE
             if (job.id !in jobsByHost.values) reserveFor(job, tasks, candidates, constraints, share)
         }
         exclusiveJobs =
@@ -62,21 +56,6 @@
                 .toMap()
     }
 
-    private fun updateWaiting(
-        waiting: List<JobTask>,
-        now: Timestamp,
-    ) {
-        waitingSince.keys.retainAll(waiting.mapTo(HashSet()) { it.key })
-        waiting.forEach { waitingSince.putIfAbsent(it.key, now) }
-        overdue = waiting.filter { hasWaited(it, ISOLATION_WAIT_MILLIS, now) }.mapTo(HashSet()) { it.key }
-    }
-
-    private fun hasWaited(
-        task: JobTask,
-        millis: Long,
-        now: Timestamp,
-    ): Boolean = waitingSince[task.key]?.let { now.millisSince(it) >= millis } ?: false
-
     /** The hosts among those of one pool that take the suspects of one job only. Reserved hosts come first. */
     private fun exclusiveIn(pool: List<HostCandidate>): List<Pair<HostIncarnation, JobId>> =
         pool
@@ -127,7 +106,7 @@
         return when {
             reservedFor != null -> isSuspect && task.key.job == reservedFor && hasOnlySuspectsOf(host, reservedFor)
             // The members of a gang run on several hosts at once, more than one of which may never be set aside.
-            task.key in overdue -> true
+            waits.isOverdue(task) -> true
             isSuspect -> task.step.coordination == StepCoordination.GANG && host.runs.values.all { it.isProven }
             else -> true
         }
@@ -168,12 +147,6 @@
         /** Share of a pool that is set aside while suspects have waited long, and that other tasks may not use. */
         private const val EXCLUSIVE_SHARE = 2.0 / 3
 
-        /** Half of the time after which suspects are no longer isolated. */
-        private const val MORE_HOSTS_AFTER_MILLIS = 1_000L
-
-        /** The users allow a task that could run to wait for 3 s; its start takes some of that. */
-        private const val ISOLATION_WAIT_MILLIS = 2_000L
-
         /** A host that went down more than once recently may fail for reasons of its own. */
         private const val REPEATED_OUTAGES = 2
     }
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/CrashingTaskTest.kt
@@ -172,7 +172,8 @@
         hosts.forEach { harness.connect(description(it), 0) }
         val recurring = CrashHistory(losses = 3, longestAgeMillis = 5_000)
         val once = CrashHistory(suspicions = 1)
-        val jobs = List(8) { "recurring-$it" to recurring } + List(8) { "once-$it" to once } + ("sound" to CrashHistory())
+        val jobs =
+            List(8) { "recurring-$it" to recurring } + List(8) { "once-$it" to once } + ("sound" to CrashHistory())
         jobs.forEach { (id, history) ->
             harness.submit(id, specification(step()), 0)
             harness.scheduler.state.jobs[JobId(id)]
