Store jobs that are longer than a record of the store

Cause: the encoded definition exceeds the 262,144 bytes of a record. The store refuses the append for good, the appender takes that for no answer, and the writer repeats it, also after its leadership has ended. The caller's next try gives the job to the next leader. The progress of a job could pass the limit too, after the job was accepted.

Fix: the adapter splits a longer value into several records of one append, and joins them when the state is read. An append that the store rejects (400 or 413) ends the leadership instead of being repeated, and repeats end with it.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
@@ -38,7 +38,7 @@
     private val http = platformHttpClient(thread)
     private val metrics = HostMetrics()
     private val directory =
-        LeaderDirectory(LogStateStore(PlatformClient(http, settings.storeAddress))) {
+        LeaderDirectory(LogStateStore(PlatformClient(http, settings.storeAddress), settings.storeRecordBytes)) {
             logger.info("could not read the leader's announcement: {}", it.detail)
         }
     private val executorAddress =
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/SilentConnectionsTest.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/SilentConnectionsTest.kt
@@ -1,6 +1,6 @@
 /*
- * Connections to an agent fall silent within a request, more of them than the agent has threads. Guards against an agent
- * that waits for the rest of those requests and answers no heartbeat any more, so that its host is never used again.
+ * Connections to an agent fall silent within a request, more of them than the agent has threads. Guards against an
+ * agent that waits for the rest of those requests and answers no heartbeat any more, so that its host is never used.
  */
 package org.greengagepass.endtoend
 
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/JobEntryProcess.kt
@@ -44,7 +44,7 @@
     private val decisions = Dispatchers.Default.limitedParallelism(1)
     private val scope = CoroutineScope(SupervisorJob() + decisions)
     private val client = PlatformClient(platformHttpClient(Dispatchers.IO.asExecutor()), settings.storeAddress)
-    private val store = LogStateStore(client)
+    private val store = LogStateStore(client, settings.storeRecordBytes)
     private val identity = EntryIdentity(settings.processName, "${settings.listenHost}:${settings.internalPort}")
     private val directory =
         LeaderDirectory(store) { logger.info("the announcement of the leader can't be read: {}", it.detail) }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/Leader.kt
@@ -191,7 +191,7 @@
             val records = batch?.change?.records ?: listOf(context.store.leadershipRecord(leadership))
             var isStored = false
             try {
-                isStored = writer.write(records)
+                isStored = writer.write(records) { isActive }
                 if (isStored) batch?.let(::finish)
             } finally {
                 if (!isStored) end()
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/StateWriter.kt
@@ -32,34 +32,58 @@
     public var lastSuccessAt: Timestamp = clock().now
         private set
 
-    /** Writes [records]. Returns false if another leader has begun. */
-    public suspend fun write(records: List<StateRecord>): Boolean = chunks(records).all { writeChunk(it) }
+    /**
+     * Writes [records]. Returns false if another leader has begun, if [isActive] becomes false before the records are
+     * stored, or if the store can't take them.
+     */
+    public suspend fun write(
+        records: List<StateRecord>,
+        isActive: () -> Boolean = { true },
+    ): Boolean = chunks(records).all { writeChunk(it, isActive) }
 
-    private suspend fun writeChunk(records: List<StateRecord>): Boolean {
+    private suspend fun writeChunk(
+        records: List<StateRecord>,
+        isActive: () -> Boolean,
+    ): Boolean {
         var unansweredSince: Moment? = null
-        while (true) {
+        var isStored: Boolean? = null
+        while (isStored == null && isActive()) {
             val startedAt = clock()
             writingSince = writingSince ?: startedAt.now
             val failure = store.append(AppendIdentity(epoch, nextSequence), records).leftOrNull()
-            if (failure == null) {
-                nextSequence += 1
-                lastSuccessAt = startedAt.now
-                writingSince = null
-                // The store may repeat its answer to an earlier try, and another leader may have begun after that try.
-                confirmation.confirm(unansweredSince ?: startedAt)
-                storeRecovered()
-                return true
-            }
             when (failure) {
+                null -> {
+                    // The store may repeat its answer to an earlier try, and another leader may have begun after it.
+                    appended(startedAt, confirmedAt = unansweredSince ?: startedAt)
+                    isStored = true
+                }
                 is StoreFailure.Fenced, is StoreFailure.Conflict -> {
                     logger.warn("another leader has begun after epoch {}: {}", epoch.value, failure.detail)
-                    return false
+                    isStored = false
+                }
+                is StoreFailure.Rejected -> {
+                    logger.error("the state store rejects {} records: {}", records.size, failure.detail)
+                    isStored = false
+                }
+                is StoreFailure.Refused, is StoreFailure.NoAnswer -> {
+                    storeFailed(startedAt, failure)
+                    if (failure is StoreFailure.NoAnswer) unansweredSince = unansweredSince ?: startedAt
+                    delay(RETRY_MILLIS)
                 }
-                is StoreFailure.Refused, is StoreFailure.NoAnswer -> storeFailed(startedAt, failure)
             }
-            if (failure is StoreFailure.NoAnswer) unansweredSince = unansweredSince ?: startedAt
-            delay(RETRY_MILLIS)
         }
+        return isStored ?: false
+    }
+
+    private fun appended(
+        startedAt: Moment,
+        confirmedAt: Moment,
+    ) {
+        nextSequence += 1
+        lastSuccessAt = startedAt.now
+        writingSince = null
+        confirmation.confirm(confirmedAt)
+        storeRecovered()
     }
 
     private fun storeFailed(
--- a/services/src/main/kotlin/org/greengagepass/services/process/StateStore.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/StateStore.kt
@@ -49,6 +49,11 @@
         override val detail: String,
     ) : StoreFailure()
 
+    /** The store can't take the records, however often they are sent; nothing was written. */
+    public data class Rejected(
+        override val detail: String,
+    ) : StoreFailure()
+
     /** There was no answer; the call may have taken effect or may still do so. */
     public data class NoAnswer(
         override val detail: String,
