Count the tasks of a step on a host once for each round of placement

For each task and host all runs of the host were compared, up to 1,000 of them.

Fix: the number of tasks of a step on a host is counted when it is first needed in a round, and kept up to date with each placement. Members of a gang that are placed together count towards the limit too now; before they did not.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostConstraints.kt
@@ -21,7 +21,7 @@
             task.key !in candidate.host.runs &&
             hasLabel(task.step.constraints, candidate.host) &&
             (isStarved || (hasSpareProcessor(task.step, candidate) && staysWithinLatency(task.step, candidate))) &&
-            respectsSpreadLimit(task, candidate.host)
+            respectsSpreadLimit(task, candidate)
 
     /** The members of a gang are placed all at once or not at all, so they do not wait for other starts. */
     private fun mayStartOn(
@@ -55,20 +55,12 @@
         host: Host,
     ): Boolean = constraints.requiredLabel == null || constraints.requiredLabel in host.description.labels
 
-    /**
-     * Runs that are being stopped count too, since they stay on the host until their end is listed. Counts the runs of
-     * the host and not the tasks of the step, of which there may be 10,000.
-     */
     private fun respectsSpreadLimit(
         task: JobTask,
-        host: Host,
-    ): Boolean {
-        val maximum = task.step.constraints.tasksPerHostMaximum ?: return true
-        val key = task.key
-        val siblings =
-            host.runs.keys.count { it.step == key.step && it.occurrence == key.occurrence && it.job == key.job }
-        return siblings < maximum
-    }
+        candidate: HostCandidate,
+    ): Boolean =
+        task.step.constraints.tasksPerHostMaximum
+            ?.let { candidate.siblingsOf(task.key) < it } ?: true
 
     /** A single task may request more than is spare, since it could never run on a small host otherwise. */
     private fun hasSpareProcessor(
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -35,7 +35,21 @@
      */
     val latencyHeadroom = HashMap<String, Double>()
 
-    fun addTask(step: StepSpecification) {
+    /** Numbers of tasks of a step, of one occurrence of its job, that are on the host; counted when first needed. */
+    private val siblings = HashMap<TaskKey, Int>()
+
+    /**
+     * Number of tasks of the step of [task] on the host. Runs that are being stopped count too, since they stay on the
+     * host until their end is listed.
+     */
+    fun siblingsOf(task: TaskKey): Int =
+        siblings.getOrPut(task.copy(index = 0)) {
+            host.runs.keys.count { it.step == task.step && it.occurrence == task.occurrence && it.job == task.job }
+        }
+
+    fun addTask(task: JobTask) {
+        val step = task.step
+        siblings.computeIfPresent(task.key.copy(index = 0)) { _, count -> count + 1 }
         unconfirmedRuns += 1
         reserved += step.reservation
         if (step.sharing.usesSpareProcessor) {
@@ -45,7 +59,9 @@
         }
     }
 
-    fun removeTask(step: StepSpecification) {
+    fun removeTask(task: JobTask) {
+        val step = task.step
+        siblings.computeIfPresent(task.key.copy(index = 0)) { _, count -> count - 1 }
         unconfirmedRuns -= 1
         reserved -= step.reservation
         if (step.sharing.usesSpareProcessor) {
@@ -105,13 +121,13 @@
         return candidate
     }
 
-    /** Counts one more task of [step] as placed on [candidate]. */
+    /** Counts [task] as placed on [candidate]. */
     fun addTask(
-        step: StepSpecification,
+        task: JobTask,
         candidate: HostCandidate,
     ) {
-        candidate.addTask(step)
-        if (step.sharing.usesSpareProcessor) reduceHeadroom(step, candidate)
+        candidate.addTask(task)
+        if (task.step.sharing.usesSpareProcessor) reduceHeadroom(task.step, candidate)
     }
 
     private fun reduceHeadroom(
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
@@ -97,7 +97,7 @@
     ): Boolean {
         val moment = options.moment
         val candidate = scoring.best(task, siblings, options.candidates, moment.now, options.isStarved) ?: return false
-        scoring.addTask(task.step, candidate)
+        scoring.addTask(task, candidate)
         transitions.place(job, task, candidate.host, task.lastRun + 1, moment)
         return true
     }
@@ -113,10 +113,10 @@
         for (task in tasks) {
             val candidate = scoring.best(task, tasks, poolCandidates, moment.now)
             if (candidate == null) {
-                assigned.forEach { (member, other) -> other.removeTask(member.step) }
+                assigned.forEach { (member, other) -> other.removeTask(member) }
                 return
             }
-            scoring.addTask(task.step, candidate)
+            scoring.addTask(task, candidate)
             assigned += task to candidate
         }
         val number = tasks.maxOf { it.lastRun } + 1
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/ThrottledRunMover.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/ThrottledRunMover.kt
@@ -38,7 +38,7 @@
         val poolCandidates = candidates.filter { it.host.description.pool == state.queueOf(job).pool }
         val siblings = job.tasksOf(placed.run.task.occurrence, placed.run.task.step)
         val candidate = scoring.best(placed.task, siblings, poolCandidates, moment.now) ?: return
-        scoring.addTask(placed.task.step, candidate)
+        scoring.addTask(placed.task, candidate)
         placed.task.interferenceMoves += 1
         transitions.stop(host, placed, StopReason.CROWDED, moment)
     }
