Log how old a start is when it ends, and cancels of unknown jobs

Change: the agent logs starts that are not answered with success, or later than 1 s, with their age and whether a stop has withdrawn them, and counts withdrawn starts apart from those that ended with their connection. The leader logs cancel_unknown for a cancel that it answers with 410.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
@@ -40,6 +40,7 @@
     private val scope: CoroutineScope,
     private val metrics: HostMetrics,
     private val context: CommandContext,
+    private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
 ) {
     private val sender =
         CommandSender(
@@ -61,19 +62,30 @@
     ) {
         val callContext = ExecutorCallContext(message.incarnation, epoch, message.leaseUntilHostClock)
         val run = message.command.run
+        val receivedAt = clock()
         starting.merge(run, 1, Int::plus)
         scope.launch {
             val outcome = sender.start(callContext, message.command) { run in withdrawn }
+            val isWithdrawn = outcome == null && run in withdrawn
             if (starting.merge(run, -1, Int::plus) == 0) {
                 starting.remove(run)
                 withdrawn.remove(run)
             }
-            metrics.recordStart(outcome)
+            metrics.recordStart(outcome, isWithdrawn)
             if (outcome != null) {
                 val result = StartResult(message.incarnation, message.command.run, outcome, context.pollNumber)
                 context.send(ToScheduler.StartAnswered(result))
             }
-            if (outcome != StartOutcome.STARTED) logger.info("start of {}: {}", message.command.run, outcome)
+            val ageMillis = clock() - receivedAt
+            if (outcome != StartOutcome.STARTED || ageMillis > SLOW_START_MILLIS) {
+                logger.info(
+                    "start of {}: {}, {} ms after its command, withdrawn: {}",
+                    run,
+                    outcome,
+                    ageMillis,
+                    isWithdrawn,
+                )
+            }
         }
     }
 
@@ -105,5 +117,9 @@
 
     private companion object {
         private val logger = LogManager.getLogger("org.greengagepass.agent")
+        private const val NANOS_PER_MILLI = 1_000_000
+
+        /** Two time-outs of a command; a start that is answered later was repeated or has waited. */
+        private const val SLOW_START_MILLIS = 1_000L
     }
 }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostMetrics.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostMetrics.kt
@@ -11,9 +11,16 @@
 internal class HostMetrics {
     private val registry = SimpleMeterRegistry()
 
-    /** Counts a start command by [outcome], which is null if its scheduler stopped being current first. */
-    fun recordStart(outcome: StartOutcome?) {
-        registry.counter("greengagepass_agent_starts", "outcome", outcome?.name?.lowercase() ?: "lost").increment()
+    /**
+     * Counts a start command by [outcome], which is null if a stop has withdrawn the command or its scheduler stopped
+     * being current first.
+     */
+    fun recordStart(
+        outcome: StartOutcome?,
+        isWithdrawn: Boolean,
+    ) {
+        val name = outcome?.name?.lowercase() ?: if (isWithdrawn) "withdrawn" else "lost"
+        registry.counter("greengagepass_agent_starts", "outcome", name).increment()
     }
 
     /** Counts a crash of the executor. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/CallerRequestHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/CallerRequestHandler.kt
@@ -32,6 +32,7 @@
     ) {
         val job = state.jobs[id]
         if (job == null) {
+            state.effects.logDecision(Decision("cancel_unknown", id))
             state.effects.immediately(SchedulerEffect.Reply(call, JobReply.Unknown))
             return
         }
