Check that a command is still due when it has a connection

Cause of the case that is reproduced here: an agent looked whether a start was due when it got its start permit. After that the call waited for one of 24 command permits, a connection and its identification. While an executor hangs, the stops of a large job hold the permits for 0.4 s each, and the start is sent seconds later, ahead of its own stop. The change of leader, the end of the lease and draining were looked at in the same place and passed over too. Change: ExecutorCallContext says whether the call is due, and the client of the executor asks when the call has its permit, and again when its connection is identified and nothing but sending it is left. Starts, stops and polls use it.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
@@ -65,7 +65,7 @@
         val receivedAt = clock()
         starting.merge(run, 1, Int::plus)
         scope.launch {
-            val outcome = sender.start(callContext, message.command) { run in withdrawn }
+            val outcome = sender.start(callContext, message.command) { run !in withdrawn }
             val isWithdrawn = outcome == null && run in withdrawn
             if (starting.merge(run, -1, Int::plus) == 0) {
                 starting.remove(run)
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
@@ -1,6 +1,7 @@
 /*
  * Sends commands to the executor. A command without an answer may still take effect later. It is therefore repeated
- * until an answer arrives, and a start counts as refused only once the executor can no longer carry it out.
+ * until an answer arrives, and a start counts as refused only once the executor can no longer carry it out. Whether a
+ * command is still due is checked before each attempt, and again when the attempt has a connection.
  */
 package org.greengagepass.agent.process.jobs
 
@@ -32,22 +33,24 @@
 
     /**
      * Returns the outcome of [command], or null if its scheduler stops being current before the outcome is known, or if
-     * [isWithdrawn] becomes true because the run is to be stopped.
+     * [isDue] becomes false.
      */
     suspend fun start(
         context: ExecutorCallContext,
         command: StartCommand,
-        isWithdrawn: () -> Boolean = { false },
+        isDue: () -> Boolean = { true },
     ): StartOutcome? {
+        val startContext =
+            context.copy(isDue = { isCurrent(context) && isDue() && !isDraining() && !hasExpired(context) })
         var mayHaveStarted = false
         var outcome: StartOutcome? = null
-        while (outcome == null && isCurrent(context) && !isWithdrawn()) {
+        while (outcome == null && isCurrent(context) && isDue()) {
             outcome =
                 when {
                     isDraining() -> confirm(context, command.run, StartOutcome.UNAVAILABLE, mayHaveStarted)
                     hasExpired(context) -> confirm(context, command.run, StartOutcome.LATE, mayHaveStarted)
                     else ->
-                        startWhenPermitted(context, command, isWithdrawn)?.fold(
+                        startWhenPermitted(startContext, command)?.fold(
                             { failure ->
                                 mayHaveStarted = mayHaveStarted || failure is ExecutorFailure.NoAnswer
                                 log(context, command, failure)
@@ -66,21 +69,18 @@
     private suspend fun startWhenPermitted(
         context: ExecutorCallContext,
         command: StartCommand,
-        isWithdrawn: () -> Boolean,
     ): Either<ExecutorFailure, StartOutcome>? =
-        startPermits.withPermit {
-            val isDue = isCurrent(context) && !isWithdrawn() && !isDraining() && !hasExpired(context)
-            if (isDue) executor.start(context, command) else null
-        }
+        startPermits.withPermit { if (context.isDue()) executor.start(context, command) else null }
 
     /** Returns true once [run] can no longer start, or false if its scheduler stops being current before that. */
     suspend fun stop(
         context: ExecutorCallContext,
         run: TaskRun,
     ): Boolean {
+        val stopContext = context.copy(isDue = { isCurrent(context) })
         var isStopped = false
         while (!isStopped && isCurrent(context)) {
-            val failure = executor.stop(context, run).leftOrNull()
+            val failure = executor.stop(stopContext, run).leftOrNull()
             isStopped = failure == null || failure is ExecutorFailure.IncarnationMismatch
             if (!isStopped) {
                 logger.info("stop of {} on {} failed: {}", run, context.incarnation, failure)
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/ExecutorPoller.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/ExecutorPoller.kt
@@ -55,7 +55,7 @@
         while (isCurrent()) {
             pollNumber += 1
             val number = pollNumber
-            val result = executor.poll(lease.callContext(), lease.acknowledgedEnds, waitMillis)
+            val result = executor.poll(lease.callContext().copy(isDue = isCurrent), lease.acknowledgedEnds, waitMillis)
             if (!isCurrent()) return
             while (replies.tryReceive().isSuccess) Unit
             val snapshot = result.onLeft { onFailure(lease.incarnation, it) }.getOrNull()
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/JobCaller.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/JobCaller.kt
@@ -1,5 +1,5 @@
 /*
- * A caller that submits jobs to entries and reads their states, each request over a connection of its own.
+ * A caller that submits and cancels jobs and reads their states, each request over a connection of its own.
  */
 package org.greengagepass.endtoend
 
@@ -33,6 +33,12 @@
             ?.substringAfter("\"state\":\"")
             ?.substringBefore('"')
 
+    /** Cancels job [id]; null if there was no answer. */
+    fun cancel(
+        entry: PlatformEntry,
+        id: String,
+    ): CallerResponse? = request(entry, "DELETE", id, "")
+
     private fun request(
         entry: PlatformEntry,
         method: String,
--- a/services/src/main/kotlin/org/greengagepass/services/process/ExecutorClient.kt
+++ b/services/src/main/kotlin/org/greengagepass/services/process/ExecutorClient.kt
@@ -33,6 +33,8 @@
     val epoch: Epoch,
     /** Reading of the host's clock; null leaves the lease unchanged. */
     val leaseUntilHostClock: Long?,
+    /** False once the call must not be sent any more; checked when the call has a connection. */
+    val isDue: () -> Boolean = { true },
 )
 
 /** Why a call to the executor did not succeed. */
