End the repetition of a start with the connection that brought it

Cause, from the code of: an agent went on with a start while the epoch and the incarnation were those of its lease. If the connection to the leader is lost and established again within one round of the repetition (0.5 s), both are the same again. A cancel in between sends its stop nowhere, since the host is not connected, and the leader sends another only when the executor lists the run. Change: a start counts only for the lease of the connection that brought it. The leader decides about the run over the new connection, as it does after every other loss of a connection.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
@@ -24,6 +24,9 @@
     /** Number of the most recently started poll. */
     val pollNumber: Long
 
+    /** The lease of the present connection to the leader, or null. Each connection has a lease of its own. */
+    val lease: GrantedLease?
+
     /** True while the epoch and the incarnation in [callContext] are those of the current lease. */
     fun isCurrent(callContext: ExecutorCallContext): Boolean
 
@@ -62,10 +65,12 @@
     ) {
         val callContext = ExecutorCallContext(message.incarnation, epoch, message.leaseUntilHostClock)
         val run = message.command.run
+        // Over a later connection the scheduler decides anew, and it may have stopped the run without a connection.
+        val lease = context.lease
         val receivedAt = clock()
         starting.merge(run, 1, Int::plus)
         scope.launch {
-            val outcome = sender.start(callContext, message.command) { run !in withdrawn }
+            val outcome = sender.start(callContext, message.command) { run !in withdrawn && context.lease === lease }
             val isWithdrawn = outcome == null && run in withdrawn
             if (starting.merge(run, -1, Int::plus) == 0) {
                 starting.remove(run)
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -65,6 +65,7 @@
                 object : CommandContext {
                     override val isDraining: Boolean get() = description?.isDraining ?: true
                     override val pollNumber: Long get() = poller.pollNumber
+                    override val lease: GrantedLease? get() = this@HostSupervisor.lease
 
                     override fun isCurrent(callContext: ExecutorCallContext) =
                         lease?.let { it.incarnation == callContext.incarnation && it.epoch == callContext.epoch }
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandHandlerTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandHandlerTest.kt
@@ -40,6 +40,7 @@
         object : CommandContext {
             override val isDraining = false
             override val pollNumber = 1L
+            override val lease = GrantedLease(incarnation, Epoch(1))
 
             override fun isCurrent(callContext: ExecutorCallContext) = true
 
