Send no start for a run that is to be stopped

Cause: a start command that waits at the leader, for the store or for a full connection, counted as due while its run was placed on the host. A cancelled run stays placed until its end is known, so the start was sent after the cancel, just before its stop. Evidence: the new test of HostMessagesTest fails without the change: the start is sent after the cancel was decided. Change: a start is due only until a stop has been issued for its run. The stop alone makes the executor refuse the run if an earlier start comes late.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Host.kt
@@ -180,8 +180,9 @@
     public fun isResponsive(now: Timestamp): Boolean =
         isConnected && lastReportAt.plusMillis(REPORT_SILENCE_MILLIS) >= now
 
-    /** True if [run] is or may be on the host, so that a start command for it may be sent. */
-    public fun isPlaced(run: TaskRun): Boolean = runs[run.task]?.run == run
+    /** True if a start command for [run] may be sent: it is placed on the host and no stop has been issued for it. */
+    public fun mayStart(run: TaskRun): Boolean =
+        runs[run.task]?.let { it.run == run && it.stopRequestedAt == null } ?: false
 
     /** Resources reserved by the runs on the host. */
     public fun reserved(): Resources =
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/LeaderModel.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/LeaderModel.kt
@@ -201,7 +201,7 @@
     private fun start(effect: SchedulerEffect.Start) {
         val host = scheduler.state.hosts[effect.host] ?: return
         val run = effect.command.run
-        if (!host.isPlaced(run)) return
+        if (!host.mayStart(run)) return
         store.log(run.task) { "leader $epoch: sends start ${run.number} to ${effect.host}" }
         send(effect.host, ToAgent.Start(effect.host, run, host.leaseUntilHostClock))
     }
--- a/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostCommands.kt
+++ b/entry/src/main/kotlin/org/greengagepass/entry/process/jobs/HostCommands.kt
@@ -42,10 +42,10 @@
     /** Sends [effect] if it is due. Returns true if it was sent. */
     fun send(effect: SchedulerEffect.ForHost): Boolean = isDue(effect) && sessions.send(effect.host, messageOf(effect))
 
-    /** True if the host is connected and, for a start, the run is still placed there. */
+    /** True if the host is connected and, for a start, the run is still placed there and not to be stopped. */
     private fun isDue(effect: SchedulerEffect.ForHost): Boolean =
         sessions.isConnected(effect.host) &&
-            (effect !is SchedulerEffect.Start || hostOf(effect)?.isPlaced(effect.command.run) == true)
+            (effect !is SchedulerEffect.Start || hostOf(effect)?.mayStart(effect.command.run) == true)
 
     private fun messageOf(effect: SchedulerEffect.ForHost): FromScheduler =
         when (effect) {
--- a/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/HostMessagesTest.kt
+++ b/entry/src/test/kotlin/org/greengagepass/entry/process/jobs/HostMessagesTest.kt
@@ -128,6 +128,26 @@
         expectThat(commands.send(start)).isFalse()
     }
 
+    @Test
+    fun `a start that waits for the store is not sent once its job is cancelled`() {
+        // Guards against a task that starts after the cancel, or beside its stop.
+        val start =
+            scheduler
+                .takeBatch()!!
+                .effects
+                .filterIsInstance<SchedulerEffect.Start>()
+                .single()
+        scheduler.callers.cancel(2, JOB, MOMENT)
+        expectThat(commands.send(start)).isFalse()
+        val stop =
+            scheduler
+                .takeBatch()!!
+                .effects
+                .filterIsInstance<SchedulerEffect.Stop>()
+                .single()
+        expectThat(commands.send(stop)).isTrue()
+    }
+
     @Test
     fun `commands beyond the queue of a connection are sent when it has room`() {
         // Guards against tasks that are placed and never started, since only a new connection repeated a command.
