Repeat no start before the messages of the leader are read

Cause, from the code: after an agent was suspended, the timers of its repetitions and the reading of its connection are due at the same time. A start may be sent before the stop that waits in the socket is read. HostSupervisor takes its clock as an argument, so that tests can suspend it.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
@@ -33,6 +33,9 @@
     /** True if the lease in [callContext] has certainly expired. */
     fun hasExpired(callContext: ExecutorCallContext): Boolean
 
+    /** True if messages of the scheduler may wait to be read, such as the stop of a run. */
+    val mayBeOutdated: Boolean
+
     /** Sends [message] to the scheduler. */
     fun send(message: ToScheduler)
 }
@@ -51,6 +54,7 @@
             isCurrent = context::isCurrent,
             isDraining = { context.isDraining },
             hasExpired = context::hasExpired,
+            mayBeOutdated = { context.mayBeOutdated },
         )
 
     /** Runs for which a stop was requested while a start command is in progress, until that has ended. */
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
@@ -20,13 +20,15 @@
 /**
  * Sends commands to [executor] while [isCurrent] is true, that is while their scheduler is still the leader. Nothing
  * is started once the executor has announced that it is draining, since that is newer than the scheduler's view, nor
- * once the lease of the command [hasExpired], since the scheduler may have placed the task elsewhere.
+ * once the lease of the command [hasExpired], since the scheduler may have placed the task elsewhere. While [mayBeOutdated]
+ * is true, a stop of the run may not have been read yet, and starts wait.
  */
 internal class CommandSender(
     private val executor: ExecutorClient,
     private val isCurrent: (ExecutorCallContext) -> Boolean,
     private val isDraining: () -> Boolean,
     private val hasExpired: (ExecutorCallContext) -> Boolean = { false },
+    private val mayBeOutdated: () -> Boolean = { false },
 ) {
     /** Stops are not delayed by starts that the executor leaves unanswered. */
     private val startPermits = Semaphore(STARTS_MAXIMUM)
@@ -41,7 +43,11 @@
         isDue: () -> Boolean = { true },
     ): StartOutcome? {
         val startContext =
-            context.copy(isDue = { isCurrent(context) && isDue() && !isDraining() && !hasExpired(context) })
+            context.copy(
+                isDue = {
+                    isCurrent(context) && isDue() && !isDraining() && !hasExpired(context) && !mayBeOutdated()
+                },
+            )
         var mayHaveStarted = false
         var outcome: StartOutcome? = null
         while (outcome == null && isCurrent(context) && isDue()) {
@@ -49,6 +55,10 @@
                 when {
                     isDraining() -> confirm(context, command.run, StartOutcome.UNAVAILABLE, mayHaveStarted)
                     hasExpired(context) -> confirm(context, command.run, StartOutcome.LATE, mayHaveStarted)
+                    mayBeOutdated() -> {
+                        delay(RETRY_MILLIS)
+                        null
+                    }
                     else ->
                         startWhenPermitted(startContext, command)?.fold(
                             { failure ->
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -33,10 +33,11 @@
     private val scope: CoroutineScope,
     metrics: HostMetrics,
     probe: IncarnationProbe,
+    clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
 ) : SchedulerConnectionListener {
-    private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI }
     private val executor = CrashObserver(executorClient, clock)
     private val executorClock = ExecutorClock(clock)
+    private val contact = LeaderContact(clock)
     private val poller =
         ExecutorPoller(
             executor = executor,
@@ -65,6 +66,7 @@
                 object : CommandContext {
                     override val isDraining: Boolean get() = description?.isDraining ?: true
                     override val pollNumber: Long get() = poller.pollNumber
+                    override val mayBeOutdated: Boolean get() = !contact.isCurrent
                     override val lease: GrantedLease? get() = this@HostSupervisor.lease
 
                     override fun isCurrent(callContext: ExecutorCallContext) =
@@ -162,6 +164,7 @@
             return
         }
         logger.info("following the leader of epoch {} at {}", epoch.value, address)
+        contact.onConnected()
         highestEpoch = epoch
         directory.connected(epoch, address)
         this.connection = connection
@@ -170,6 +173,7 @@
     }
 
     override fun onMessage(message: FromScheduler) {
+        contact.onMessage()
         when (message) {
             is FromScheduler.Grant -> {
                 val matchingLease = lease?.takeIf { it.incarnation == message.incarnation }
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandHandlerTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandHandlerTest.kt
@@ -41,6 +41,7 @@
             override val isDraining = false
             override val pollNumber = 1L
             override val lease = GrantedLease(incarnation, Epoch(1))
+            override val mayBeOutdated = false
 
             override fun isCurrent(callContext: ExecutorCallContext) = true
 
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/HostSupervisorTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/HostSupervisorTest.kt
@@ -52,6 +52,9 @@
     private val server = ServerSocket(0, 8, InetAddress.getLoopbackAddress())
     private val connector = FrameConnector(Dispatchers.IO)
 
+    /** How long the process has stood still: its clock has gone on, and its timers have not. */
+    private var suspendedMillis = 0L
+
     @AfterEach
     fun close() {
         connector.close()
@@ -73,6 +76,38 @@
             expectThat(executor.startTimes).isNotEmpty().all { isLessThan(reconnectedAt + 1) }
         }
 
+    @Test
+    fun `a start is not repeated before what arrived during a suspension is read`() =
+        runTest {
+            // Guards against a task that starts after a cancel whose stop waits in the connection of a resumed agent.
+            val executor = SilentExecutor(this)
+            val supervisor = connectedSupervisor(executor)
+            supervisor.onMessage(START)
+            advanceTimeBy(STARTED_MILLIS)
+            suspendedMillis = SUSPENDED_MILLIS
+            val resumedAt = currentTime
+            advanceTimeBy(READ_AFTER_MILLIS)
+            supervisor.onMessage(FromScheduler.Pong(true))
+            advanceTimeBy(READ_AFTER_MILLIS)
+            supervisor.onMessage(FromScheduler.Stop(INCARNATION, RUN))
+            advanceTimeBy(OBSERVED_MILLIS)
+            expectThat(executor.startTimes).isNotEmpty().all { isLessThan(resumedAt + 1) }
+        }
+
+    @Test
+    fun `a start is repeated after a suspension without a stop`() =
+        runTest {
+            val executor = SilentExecutor(this)
+            val supervisor = connectedSupervisor(executor)
+            supervisor.onMessage(START)
+            advanceTimeBy(STARTED_MILLIS)
+            suspendedMillis = SUSPENDED_MILLIS
+            val resumedAt = currentTime
+            supervisor.onMessage(FromScheduler.Pong(true))
+            advanceTimeBy(STARTED_MILLIS)
+            expectThat(executor.startTimes.filter { it > resumedAt }).isNotEmpty()
+        }
+
     private fun TestScope.connectedSupervisor(executor: ExecutorClient): HostSupervisor {
         val supervisor =
             HostSupervisor(
@@ -82,6 +117,7 @@
                 scope = backgroundScope,
                 metrics = HostMetrics(),
                 probe = IncarnationProbe { _, _ -> ProbeResult.Confirmed },
+                clock = { currentTime + suspendedMillis },
             )
         supervisor.registration.onHeartbeat(DESCRIPTION)
         runCurrent()
@@ -143,6 +179,10 @@
         private const val COMMAND_TIMEOUT_MILLIS = 400L
         private const val STARTED_MILLIS = 1_000L
         private const val OBSERVED_MILLIS = 4_000L
+        private const val SUSPENDED_MILLIS = 3_000L
+
+        /** Several messages are read within the interval of the repetition. */
+        private const val READ_AFTER_MILLIS = 40L
         private const val LEADER = "leader:1"
         private val EPOCH = Epoch(1)
         private val INCARNATION = HostIncarnation(HostId("host"), ExecutorName("executor"), 1)
