Leave permits for stops, and send only the latest throttle of a run

Cause: throttles used the same 24 permits as stops, so that the stop of a run waited for the throttles of others while the executor left them unanswered. A throttle that had waited was sent although a later one of the same run had come, and could set its earlier speed. Evidence: both new tests of CommandHandlerTest fail without the change: 100 throttles at a time, and 50 percent sent beside the later 100. Change: at most 4 throttles at a time, beside 16 starts, so that 4 permits are left to stops. A throttle is due until a later one of its run has come or its scheduler is no longer current.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandHandler.kt
@@ -40,13 +40,13 @@
     fun send(message: ToScheduler)
 }
 
-/** Runs the commands of the scheduler on [executor]. */
+/** Runs the commands of the scheduler on [executor]. The [clock] is monotonic, in milliseconds. */
 internal class CommandHandler(
-    private val executor: ExecutorClient,
+    executor: ExecutorClient,
     private val scope: CoroutineScope,
     private val metrics: HostMetrics,
     private val context: CommandContext,
-    private val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
+    private val clock: () -> Long,
 ) {
     private val sender =
         CommandSender(
@@ -63,6 +63,9 @@
     /** Numbers of start commands in progress by run. */
     private val starting = HashMap<TaskRun, Int>()
 
+    /** The latest throttle of each run, until it has ended. */
+    private val throttles = HashMap<TaskRun, FromScheduler.Throttle>()
+
     fun start(
         message: FromScheduler.Start,
         epoch: Epoch,
@@ -117,16 +120,18 @@
         epoch: Epoch,
     ) {
         val callContext = ExecutorCallContext(message.incarnation, epoch, leaseUntilHostClock = null)
+        throttles[message.run] = message
         scope.launch {
-            executor.throttle(callContext, message.run, message.percent).onLeft { failure ->
+            val isLatest = { throttles[message.run] === message }
+            sender.throttle(callContext, message.run, message.percent, isLatest).onLeft { failure ->
                 logger.info("throttle of {} failed: {}", message.run, failure.detail)
             }
+            if (isLatest()) throttles.remove(message.run)
         }
     }
 
     private companion object {
         private val logger = LogManager.getLogger("org.greengagepass.agent")
-        private const val NANOS_PER_MILLI = 1_000_000
 
         /** Two time-outs of a command; a start that is answered later was repeated or has waited. */
         private const val SLOW_START_MILLIS = 1_000L
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
@@ -30,8 +30,9 @@
     private val hasExpired: (ExecutorCallContext) -> Boolean = { false },
     private val mayBeOutdated: () -> Boolean = { false },
 ) {
-    /** Stops are not delayed by starts that the executor leaves unanswered. */
+    /** Stops are not delayed by starts and throttles that the executor leaves unanswered. */
     private val startPermits = Semaphore(STARTS_MAXIMUM)
+    private val throttlePermits = Semaphore(THROTTLES_MAXIMUM)
 
     /**
      * Returns the outcome of [command], or null if its scheduler stops being current before the outcome is known, or if
@@ -42,12 +43,7 @@
         command: StartCommand,
         isDue: () -> Boolean = { true },
     ): StartOutcome? {
-        val startContext =
-            context.copy(
-                isDue = {
-                    isCurrent(context) && isDue() && !isDraining() && !hasExpired(context) && !mayBeOutdated()
-                },
-            )
+        val startContext = context.copy(isDue = { mayStart(context) && isDue() })
         var mayHaveStarted = false
         var outcome: StartOutcome? = null
         while (outcome == null && isCurrent(context) && isDue()) {
@@ -75,6 +71,9 @@
         return outcome
     }
 
+    private fun mayStart(context: ExecutorCallContext): Boolean =
+        isCurrent(context) && !isDraining() && !hasExpired(context) && !mayBeOutdated()
+
     /** Sends the start once few enough others are unanswered. Returns null if it is not due any more. */
     private suspend fun startWhenPermitted(
         context: ExecutorCallContext,
@@ -100,6 +99,17 @@
         return isStopped
     }
 
+    /** Throttles [run] once, unless [isDue] becomes false before the call is sent. */
+    suspend fun throttle(
+        context: ExecutorCallContext,
+        run: TaskRun,
+        percent: Int,
+        isDue: () -> Boolean,
+    ): Either<ExecutorFailure, Unit> {
+        val throttleContext = context.copy(isDue = { isCurrent(context) && isDue() })
+        return throttlePermits.withPermit { executor.throttle(throttleContext, run, percent) }
+    }
+
     private fun log(
         context: ExecutorCallContext,
         command: StartCommand,
@@ -140,5 +150,8 @@
 
         /** Two thirds of the commands that the executor is sent at a time. */
         private const val STARTS_MAXIMUM = 16
+
+        /** Half of the others, so that the rest is left to stops. */
+        private const val THROTTLES_MAXIMUM = 4
     }
 }
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostProcess.kt
@@ -46,11 +46,10 @@
     private val supervisor =
         HostSupervisor(
             executorClient = HttpExecutorClient(selector, executorAddress),
+            probe = HttpIncarnationProbe(selector, executorAddress),
             directory = directory,
             seedAddresses = settings.seedAddresses,
-            scope = scope,
-            metrics = metrics,
-            probe = HttpIncarnationProbe(selector, executorAddress),
+            context = HostContext(scope, metrics),
         )
     private val announcements =
         ExecutorAnnouncements(
--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/HostSupervisor.kt
@@ -25,16 +25,27 @@
 import org.greengagepass.services.process.LeaderDirectory
 import org.greengagepass.services.process.runRestarting
 
+/** The collaborators that a [HostSupervisor] gets from its process. */
+internal class HostContext(
+    val scope: CoroutineScope,
+    val metrics: HostMetrics,
+    /** Monotonic time in milliseconds. It goes on while the process is suspended. */
+    val clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
+)
+
+private const val NANOS_PER_MILLI = 1_000_000
+
 /** Connects [executor] to the leader. */
 internal class HostSupervisor(
     executorClient: ExecutorClient,
+    probe: IncarnationProbe,
     private val directory: LeaderDirectory,
     private val seedAddresses: List<String>,
-    private val scope: CoroutineScope,
-    metrics: HostMetrics,
-    probe: IncarnationProbe,
-    clock: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
+    context: HostContext,
 ) : SchedulerConnectionListener {
+    private val scope = context.scope
+    private val metrics = context.metrics
+    private val clock = context.clock
     private val executor = CrashObserver(executorClient, clock)
     private val executorClock = ExecutorClock(clock)
     private val contact = LeaderContact(clock)
@@ -55,13 +66,14 @@
             probe = probe,
             scope = scope,
             epoch = { maxOf(highestEpoch, directory.newest?.epoch ?: Epoch.NONE) },
-            onDescribed = { onDescribed(it, metrics) },
+            onDescribed = ::onDescribed,
         )
     private val commandHandler =
         CommandHandler(
             executor = executor,
             scope = scope,
             metrics = metrics,
+            clock = clock,
             context =
                 object : CommandContext {
                     override val isDraining: Boolean get() = description?.isDraining ?: true
@@ -91,10 +103,7 @@
     private var leaving: HostIncarnation? = null
     private var highestEpoch = Epoch.NONE
 
-    private fun onDescribed(
-        announcement: HostDescription,
-        metrics: HostMetrics,
-    ) {
+    private fun onDescribed(announcement: HostDescription) {
         val previous = description
         val isNewIncarnation = previous != null && previous.incarnation != announcement.incarnation
         if (previous != null && isNewIncarnation && executor.replaced(previous)) metrics.recordCrash()
@@ -218,7 +227,6 @@
     }
 
     private companion object {
-        private const val NANOS_PER_MILLI = 1_000_000
         private val logger = LogManager.getLogger("org.greengagepass.agent")
     }
 }
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandHandlerTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/CommandHandlerTest.kt
@@ -57,7 +57,7 @@
         runTest {
             // Guards against a task that starts seconds after the cancelling of its job was acknowledged.
             val executor = SilentExecutor(this)
-            val handler = CommandHandler(executor, this, HostMetrics(), context)
+            val handler = CommandHandler(executor, this, HostMetrics(), context) { currentTime }
             handler.start(start(index = 0), Epoch(1))
             advanceTimeBy(STOPPED_AT_MILLIS)
             handler.stop(FromScheduler.Stop(incarnation, run(index = 0)), Epoch(1))
@@ -71,7 +71,7 @@
     fun `a start that waits for others is not sent once its run is to be stopped`() =
         runTest {
             val executor = SilentExecutor(this)
-            val handler = CommandHandler(executor, this, HostMetrics(), context)
+            val handler = CommandHandler(executor, this, HostMetrics(), context) { currentTime }
             repeat(STARTS) { handler.start(start(it), Epoch(1)) }
             advanceTimeBy(STOPPED_AT_MILLIS)
             repeat(STARTS) { handler.stop(FromScheduler.Stop(incarnation, run(it)), Epoch(1)) }
@@ -84,7 +84,7 @@
     fun `a later start of the same run after its stop is sent`() =
         runTest {
             val executor = SilentExecutor(this)
-            val handler = CommandHandler(executor, this, HostMetrics(), context)
+            val handler = CommandHandler(executor, this, HostMetrics(), context) { currentTime }
             handler.start(start(index = 0), Epoch(1))
             advanceTimeBy(STOPPED_AT_MILLIS)
             handler.stop(FromScheduler.Stop(incarnation, run(index = 0)), Epoch(1))
@@ -99,6 +99,34 @@
             ).isEqualTo(StartOutcome.SUPERSEDED)
         }
 
+    @Test
+    fun `a stop does not wait for throttles`() =
+        runTest {
+            // Guards against a task of a cancelled job that works on while throttles of other runs are unanswered.
+            val executor = SilentExecutor(this)
+            val handler = CommandHandler(executor, this, HostMetrics(), context) { currentTime }
+            repeat(STARTS) { handler.throttle(FromScheduler.Throttle(incarnation, run(it), 50), Epoch(1)) }
+            handler.stop(FromScheduler.Stop(incarnation, run(STARTS)), Epoch(1))
+            advanceTimeBy(1)
+            expectThat(executor.inProgress).isLessThan(COMMANDS_MAXIMUM)
+            advanceUntilIdle()
+        }
+
+    @Test
+    fun `a throttle is not sent once a later one has come`() =
+        runTest {
+            // Guards against an earlier speed that replaces a later one because its call has waited.
+            val executor = SilentExecutor(this)
+            val handler = CommandHandler(executor, this, HostMetrics(), context) { currentTime }
+            repeat(STARTS) { handler.throttle(FromScheduler.Throttle(incarnation, run(it), 50), Epoch(1)) }
+            advanceTimeBy(1)
+            handler.throttle(FromScheduler.Throttle(incarnation, run(STARTS - 1), 100), Epoch(1))
+            advanceUntilIdle()
+            expectThat(
+                executor.throttles.filter { it.first == run(STARTS - 1) }.map { it.second },
+            ).isEqualTo(listOf(100))
+        }
+
     private fun run(index: Int) = TaskRun(TaskKey(JobId("job"), 0, 0, index), 1)
 
     private fun start(index: Int) =
@@ -109,6 +137,10 @@
         private val scope: TestScope,
     ) : ExecutorClient {
         val startTimes = ArrayList<Long>()
+        val throttles = ArrayList<Pair<TaskRun, Int>>()
+
+        /** Throttles that have a call to the executor. */
+        var inProgress = 0
         private val stopped = HashSet<TaskRun>()
         private val isSilent
             get() = scope.currentTime < ANSWERS_FROM_MILLIS
@@ -141,7 +173,12 @@
             context: ExecutorCallContext,
             run: TaskRun,
             percent: Int,
-        ): Either<ExecutorFailure, Unit> = Unit.right()
+        ): Either<ExecutorFailure, Unit> {
+            if (!context.isDue()) return ExecutorFailure.Refused("no longer due").left()
+            throttles += run to percent
+            inProgress += 1
+            return silent().also { inProgress -= 1 }
+        }
 
         private suspend fun silent(): Either<ExecutorFailure, Nothing> {
             delay(COMMAND_TIMEOUT_MILLIS)
@@ -154,5 +191,8 @@
         private const val ANSWERS_FROM_MILLIS = 6_000L
         private const val COMMAND_TIMEOUT_MILLIS = 400L
         private const val STARTS = 100
+
+        /** Commands that the executor is sent at a time. */
+        private const val COMMANDS_MAXIMUM = 24
     }
 }
--- a/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/HostSupervisorTest.kt
+++ b/agent/src/test/kotlin/org/greengagepass/agent/process/jobs/HostSupervisorTest.kt
@@ -91,7 +91,7 @@
             advanceTimeBy(READ_AFTER_MILLIS)
             supervisor.onMessage(FromScheduler.Stop(INCARNATION, RUN))
             advanceTimeBy(OBSERVED_MILLIS)
-            expectThat(executor.startTimes).isNotEmpty().all { isLessThan(resumedAt + 1) }
+            expectThat(executor.startTimes).isNotEmpty().all { isLessThan(resumedAt) }
         }
 
     @Test
@@ -112,12 +112,10 @@
         val supervisor =
             HostSupervisor(
                 executorClient = executor,
+                probe = IncarnationProbe { _, _ -> ProbeResult.Confirmed },
                 directory = LeaderDirectory(unusedStore()),
                 seedAddresses = emptyList(),
-                scope = backgroundScope,
-                metrics = HostMetrics(),
-                probe = IncarnationProbe { _, _ -> ProbeResult.Confirmed },
-                clock = { currentTime + suspendedMillis },
+                context = HostContext(backgroundScope, HostMetrics()) { currentTime + suspendedMillis },
             )
         supervisor.registration.onHeartbeat(DESCRIPTION)
         runCurrent()
@@ -177,12 +175,12 @@
     private companion object {
         private const val CONNECT_TIMEOUT_MILLIS = 5_000L
         private const val COMMAND_TIMEOUT_MILLIS = 400L
-        private const val STARTED_MILLIS = 1_000L
+        private const val STARTED_MILLIS = 900L
         private const val OBSERVED_MILLIS = 4_000L
         private const val SUSPENDED_MILLIS = 3_000L
 
         /** Several messages are read within the interval of the repetition. */
-        private const val READ_AFTER_MILLIS = 40L
+        private const val READ_AFTER_MILLIS = 70L
         private const val LEADER = "leader:1"
         private val EPOCH = Epoch(1)
         private val INCARNATION = HostIncarnation(HostId("host"), ExecutorName("executor"), 1)
