Count a job as pending until a host has started one of its tasks

Change: a job has begun when a host has answered a start with success, lists a run or lists its end. Crashes alone do not count.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostMessageHandler.kt
@@ -126,6 +126,7 @@
         val placed = host.runs[result.run.task]?.takeIf { it.run == result.run } ?: return
         when (result.outcome) {
             StartOutcome.STARTED -> {
+                state.runStarted(placed.run)
                 placed.isConfirmed = true
                 placed.settledAfterPoll = result.pollNumber
             }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReportHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReportHandler.kt
@@ -44,6 +44,7 @@
         status: RunStatus,
         moment: Moment,
     ) {
+        state.runStarted(status.run)
         val placed = host.runs[status.run.task]
         if (placed == null || placed.run != status.run) {
             stopUnexpected(host, status.run, moment)
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/Job.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/Job.kt
@@ -53,7 +53,7 @@
     public var outcome: JobOutcome = JobOutcome.ACTIVE
         internal set
 
-    /** True once a task has been placed on a host. */
+    /** True once a host has started a task. */
     public var hasBegun: Boolean = false
         internal set
 
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/RunTransitions.kt
@@ -17,7 +17,6 @@
     ) {
         task.lastRun = number
         task.state = TaskState.Placed(host.incarnation)
-        job.hasBegun = true
         val placed = PlacedRun(task, task.run, moment.now)
         host.runs[task.key] = placed
         state.jobs.markChanged(job)
@@ -57,6 +56,7 @@
         end: RunEnd,
         moment: Moment,
     ) {
+        state.runStarted(end.run)
         val placed = host.runs[end.run.task]?.takeIf { it.run.number <= end.run.number }
         if (placed != null) {
             host.runs.remove(end.run.task)
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -76,6 +76,13 @@
             moment.now >= host.pausedUntil &&
             host.description.failureDomain !in configuration.failureDomainsOut
 
+    /** Records that a host has started [run], so that its job has begun. */
+    internal fun runStarted(run: TaskRun) {
+        val job = jobs[run.task.job]?.takeUnless { it.hasBegun } ?: return
+        job.hasBegun = true
+        jobs.markChanged(job)
+    }
+
     private fun restore(
         task: JobTask,
         leadershipStartedAt: Timestamp,
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobFixtures.kt
@@ -109,6 +109,16 @@
         return scheduler.hosts.reportReceived(HostReport(host, pollNumber, millis, running, ends), true, moment(millis))
     }
 
+    /** The host [host] confirms that it has started [run]. */
+    fun confirm(
+        host: HostIncarnation,
+        run: TaskRun,
+        millis: Long,
+    ) = scheduler.hosts.startAnswered(
+        StartResult(host, run, StartOutcome.STARTED, pollNumbers[host] ?: 0),
+        moment(millis),
+    )
+
     /** Effects of a tick at [millis], after its changes are stored. */
     fun effects(millis: Long): List<SchedulerEffect> {
         scheduler.tick(moment(millis), mayStart = true)
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
@@ -32,6 +32,36 @@
         expectThat(harness.visibleStatus("job")).isEqualTo(null)
     }
 
+    @Test
+    fun `a job counts as pending until a host has started one of its tasks`() {
+        // Guards against jobs that are placed on a host that does not answer, and no longer counted as waiting.
+        val run = harness.startOn(description(first), step())
+        expectThat(
+            harness.scheduler.state.jobs
+                .pendingOf(queue().name),
+        ).isEqualTo(1)
+        expectThat(harness.visibleStatus("job")).isEqualTo(JobStatus.QUEUED)
+        harness.confirm(first, run, 20)
+        harness.effects(30)
+        expectThat(
+            harness.scheduler.state.jobs
+                .pendingOf(queue().name),
+        ).isEqualTo(0)
+        expectThat(harness.visibleStatus("job")).isEqualTo(JobStatus.IN_PROGRESS)
+    }
+
+    @Test
+    fun `a job is not pending once a host lists one of its tasks, or its end`() {
+        val run = harness.startOn(description(first), step(taskCount = 1))
+        harness.report(first, 500, running = listOf(running(run)))
+        harness.effects(510)
+        expectThat(harness.visibleStatus("job")).isEqualTo(JobStatus.IN_PROGRESS)
+        val failed = harness.startOn(description(second), step(), job = "other")
+        harness.report(second, 900, ends = listOf(RunEnd(1, failed, RunOutcome.FAILED, "")))
+        harness.effects(910)
+        expectThat(harness.visibleStatus("other")).isEqualTo(JobStatus.IN_PROGRESS)
+    }
+
     @Test
     fun `a step starts only when the steps it depends on are done`() {
         harness.connect(description(first), 0)
