--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/CancelledJobTest.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/CancelledJobTest.kt
@@ -33,6 +33,25 @@
             expectThat(deployment.history.violations()).isEmpty()
         }
 
+    @Test
+    fun `a start does not begin after the cancel of its job when a suspended agent goes on`() =
+        withPlatform(hostCount = 1, entryCount = 2) { deployment, caller ->
+            val host = deployment.hosts.single()
+            repeat(SUSPENSIONS) { number ->
+                val job = "%016x".format(FIRST_JOB + number)
+                host.executor.disturbance = { if (it in COMMANDS) Disturbance.NoAnswer else Disturbance.None }
+                submit(deployment, caller, job, StandInSettings.job(tasks = 1, millis = 500, cpu = 100))
+                Thread.sleep(COMMAND_ARRIVES_MILLIS)
+                deployment.pause(host.name)
+                cancel(deployment, caller, job)
+                Thread.sleep(SILENT_MILLIS)
+                host.executor.disturbance = { Disturbance.None }
+                deployment.resume(host.name)
+                Thread.sleep(SETTLED_MILLIS)
+            }
+            expectThat(deployment.history.violations()).isEmpty()
+        }
+
     private fun cancel(
         deployment: PlatformDeployment,
         caller: JobCaller,
@@ -45,6 +64,8 @@
     private companion object {
         private const val LARGE_JOB = "5c0e7a21d94b36fa"
         private const val JOB = "5c0e7a21d94b36fb"
+        private const val FIRST_JOB = 0x5c0e7a21d94b4000L
+        private const val SUSPENSIONS = 4
         private const val LARGE_JOB_TASKS = 400
         private const val COMMAND_ARRIVES_MILLIS = 100L
 
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/JobCaller.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/JobCaller.kt
@@ -66,6 +66,7 @@
 
     companion object {
         const val OK: Int = 200
+        const val GONE: Int = 410
 
         /** Answers that say that a job was not accepted and never runs. */
         val REJECTIONS: Set<Int> = setOf(404, 429, 503)
--- a/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformFaults.kt
+++ b/end-to-end/src/test/kotlin/org/greengagepass/endtoend/PlatformFaults.kt
@@ -13,14 +13,23 @@
 import kotlin.random.Random
 import kotlin.random.nextLong
 
-/**
- * Injects faults into [deployment]. If [losesDeregistrations] is true, executors get no acknowledgement of their
- * deregistration, and work on for some seconds.
- */
+/** What befalls executors, beside the faults of processes and the store. */
+enum class ExecutorFaults {
+    /** Crashes, lost and late calls, draining and changed capacities. */
+    ALL,
+
+    /** The same, and an executor that drains gets no acknowledgement of its deregistration. */
+    LOST_DEREGISTRATIONS,
+
+    /** Commands are reset, left without an answer, carried out late, or their answers are lost. */
+    FAILED_COMMANDS,
+}
+
+/** Injects faults into [deployment], with [executorFaults] at the executors. */
 class PlatformFaults(
     private val deployment: PlatformDeployment,
     private val seed: Long,
-    private val losesDeregistrations: Boolean,
+    private val executorFaults: ExecutorFaults,
 ) {
     private var deadlineNanos = 0L
 
@@ -68,12 +77,13 @@
         executor: ExecutorStandIn,
         random: Random,
     ) {
+        if (executorFaults == ExecutorFaults.FAILED_COMMANDS) return commandFault(executor, random)
         when (random.nextInt(EXECUTOR_FAULTS)) {
             0 -> executor.crash()
             1 -> executor.crashSilently()
             2 -> disturb(executor, random) { Disturbance.LostAnswer }
             3 -> disturb(executor, random) { Disturbance.CarriedOutLater(random.nextLong(200L..4_000L)) }
-            4, 5 -> executor.drain(losesAcknowledgement = losesDeregistrations)
+            4, 5 -> executor.drain(executorFaults == ExecutorFaults.LOST_DEREGISTRATIONS)
             6 -> {
                 executor.resize(SMALL_CAPACITY_CPU)
                 pause(random, 1_000L..4_000L)
@@ -84,6 +94,29 @@
         if (!executor.isUp) startAgain(executor, random)
     }
 
+    /** Most commands fail in one way for up to 6 s, longer than a job may take to be cancelled. */
+    private fun commandFault(
+        executor: ExecutorStandIn,
+        random: Random,
+    ) {
+        val played: () -> Disturbance =
+            when (random.nextInt(COMMAND_FAULTS)) {
+                0 -> { -> Disturbance.NoAnswer }
+                1 -> { -> Disturbance.Reset }
+                2 -> { -> Disturbance.LostAnswer }
+                else -> { -> Disturbance.CarriedOutLater(random.nextLong(2_000L..9_000L)) }
+            }
+        val draws = Random(random.nextLong())
+        executor.disturbance = { call ->
+            val isCommand = call == ExecutorCall.START || call == ExecutorCall.STOP
+            synchronized(draws) {
+                if (isCommand && draws.nextInt(ANSWERED_ONE_IN) != 0) played() else Disturbance.None
+            }
+        }
+        pause(random, 1_000L..6_000L)
+        executor.disturbance = { Disturbance.None }
+    }
+
     private fun startAgain(
         executor: ExecutorStandIn,
         random: Random,
@@ -163,6 +196,8 @@
         private const val NANOS_PER_MILLI = 1_000_000L
         private const val SERIES = 1_000
         private const val EXECUTOR_FAULTS = 8
+        private const val COMMAND_FAULTS = 4
+        private const val ANSWERED_ONE_IN = 10
         private const val PROCESS_FAULTS = 4
         private const val ANSWERS_LOST_MAXIMUM = 4
         private const val NEW_IDENTIFIER_ONE_IN = 3
