Refuse a job whose cancel came before its submission

Clients repeat a submission after a lost answer, and an entry repeats it while it looks for a leader, so that a submission may be under way when its caller gives up. Evidence: the first new test of JobSchedulerTest fails without the refusal. Change: the leader stores the cancel of an unknown job before it answers 410, and refuses the submission with 503, which says that the job never runs, for as long as ended jobs are kept.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/CallerRequestHandler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/CallerRequestHandler.kt
@@ -9,7 +9,10 @@
     private val state: SchedulerState,
     private val transitions: RunTransitions,
 ) {
-    /** Accepts the job [id]; a repeated submission has no further effect. */
+    /**
+     * Accepts the job [id]; a repeated submission has no further effect. A job whose cancel came first is refused: its
+     * submission may have been under way when its caller gave up.
+     */
     public fun submit(
         call: Long,
         id: JobId,
@@ -17,6 +20,11 @@
         specification: JobSpecification,
         moment: Moment,
     ) {
+        if (state.jobs[id] == null && id in state.earlyCancels) {
+            val reply = JobReply.NotRun(state.settings.retentionMillis, "the job was cancelled before it was submitted")
+            state.effects.immediately(SchedulerEffect.Reply(call, reply))
+            return
+        }
         if (state.jobs[id] == null) {
             state.jobs.add(Job(id, JobDefinition(queue, specification, moment.epochMillis)))
             state.effects.logDecision(Decision("job_taken", id, detail = queue.name.value))
@@ -24,7 +32,7 @@
         state.effects.afterStored(SchedulerEffect.Reply(call, JobReply.Accepted))
     }
 
-    /** Cancels the job [id]. */
+    /** Cancels the job [id], also if it is submitted later. */
     public fun cancel(
         call: Long,
         id: JobId,
@@ -33,7 +41,8 @@
         val job = state.jobs[id]
         if (job == null) {
             state.effects.logDecision(Decision("cancel_unknown", id))
-            state.effects.immediately(SchedulerEffect.Reply(call, JobReply.Unknown))
+            state.earlyCancels.add(id, moment.epochMillis)
+            state.effects.afterStored(SchedulerEffect.Reply(call, JobReply.Unknown))
             return
         }
         if (job.outcome == JobOutcome.ACTIVE) transitions.endJob(job, JobOutcome.CANCELLED, moment)
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobScheduler.kt
@@ -54,23 +54,25 @@
         latencyController.adjust(moment)
         if (mayStart) throttledRunMover.move(moment)
         if (mayStart) taskPlacer.placeTasks(moment)
-        state.jobs.removeEndedBefore(moment.epochMillis - state.settings.retentionMillis)
+        val retainedSince = moment.epochMillis - state.settings.retentionMillis
+        state.jobs.removeEndedBefore(retainedSince)
+        state.earlyCancels.removeBefore(retainedSince)
     }
 
     /** Takes the effects that don't wait for the store. */
     public fun takeImmediate(): List<SchedulerEffect> = state.effects.takeImmediate()
 
     /** Takes the next batch, or null if there are no changes to store and no effects that wait for them. */
-    public fun takeBatch(): SchedulerBatch? =
-        if (state.jobs.hasChanges || state.effects.isWaitingForStore) {
-            val change = state.jobs.takeChanges()
-            SchedulerBatch(
-                if (change.records.isEmpty()) change else withEstimates(change),
-                state.effects.takeAfterStored(),
-            )
-        } else {
-            null
-        }
+    public fun takeBatch(): SchedulerBatch? {
+        val hasChanges = state.jobs.hasChanges || state.earlyCancels.hasChanges
+        if (!hasChanges && !state.effects.isWaitingForStore) return null
+        val ofJobs = state.jobs.takeChanges()
+        val change = ofJobs.copy(records = ofJobs.records + state.earlyCancels.takeRecords())
+        return SchedulerBatch(
+            if (change.records.isEmpty()) change else withEstimates(change),
+            state.effects.takeAfterStored(),
+        )
+    }
 
     /** Adds the estimates to a change that is written anyway, so that they cost no append of their own. */
     private fun withEstimates(change: JobTableChange): JobTableChange {
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -50,6 +50,9 @@
     /** Effects of best-effort tasks on serving tasks. */
     public val interference: InterferenceEstimates = InterferenceEstimates(storedRecords, leadershipStartedAt)
 
+    /** Cancels of jobs that were not known. */
+    internal val earlyCancels: EarlyCancels = EarlyCancels(storedRecords)
+
     /** The newest configuration. */
     public var configuration: JobConfiguration = JobConfiguration()
         internal set
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/JobSchedulerTest.kt
@@ -4,9 +4,11 @@
 import org.greengagepass.core.Resources
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactlyInAnyOrder
 import strikt.assertions.filterIsInstance
 import strikt.assertions.hasSize
+import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
@@ -62,6 +64,36 @@
         expectThat(harness.visibleStatus("other")).isEqualTo(JobStatus.IN_PROGRESS)
     }
 
+    @Test
+    fun `a job that is submitted after its cancel does not run, under this leader or the next`() {
+        // Guards against a submission that an entry or a client repeats while its cancel is answered as unknown.
+        harness.connect(description(first), 0)
+        harness.scheduler.callers.cancel(1, JobId("job"), moment(10))
+        expectThat(harness.scheduler.takeImmediate()).filterIsInstance<SchedulerEffect.Reply>().isEmpty()
+        expectThat(harness.effects(20)).contains(SchedulerEffect.Reply(1, JobReply.Unknown))
+        listOf(harness, harness.successor(startedAt = 30)).forEach { leader ->
+            leader.connect(description(first), 40)
+            leader.submit("job", specification(step()), 50)
+            val effects = leader.effects(60)
+            expectThat(effects).filterIsInstance<SchedulerEffect.Start>().isEmpty()
+            expectThat(effects.filterIsInstance<SchedulerEffect.Reply>().single().reply).isA<JobReply.NotRun>()
+            expectThat(leader.visibleStatus("job")).isEqualTo(null)
+        }
+    }
+
+    @Test
+    fun `a job may be submitted again once its early cancel is no longer retained`() {
+        harness.connect(description(first), 0)
+        harness.scheduler.callers.cancel(1, JobId("job"), moment(10))
+        harness.effects(20)
+        val later = 20 + SETTINGS.retentionMillis
+        harness.effects(later)
+        expectThat(harness.stored.keys.filter { "job" in it }).isEmpty()
+        harness.report(first, later + 1)
+        harness.submit("job", specification(step()), later + 2)
+        expectThat(harness.starts(later + 3)).hasSize(1)
+    }
+
     @Test
     fun `a step starts only when the steps it depends on are done`() {
         harness.connect(description(first), 0)
