--- a/core/src/test/kotlin/org/greengagepass/core/process/TraceTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/TraceTest.kt
@@ -18,6 +18,7 @@
             "owner-paused-and-replaced",
             "cannot-run",
             "cancellation-wave",
+            "cancelled-before-start",
             "stale-owner-and-new-agent",
             "outage-allowance",
             "release-after-takeover",
