Allow 16 throttles at a time

Change: 16 throttles at a time. They alone still leave permits to stops, which CommandHandlerTest checks as before; with 16 starts they may hold all.

--- a/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
+++ b/agent/src/main/kotlin/org/greengagepass/agent/process/jobs/CommandSender.kt
@@ -20,8 +20,8 @@
 /**
  * Sends commands to [executor] while [isCurrent] is true, that is while their scheduler is still the leader. Nothing
  * is started once the executor has announced that it is draining, since that is newer than the scheduler's view, nor
- * once the lease of the command [hasExpired], since the scheduler may have placed the task elsewhere. While [mayBeOutdated]
- * is true, a stop of the run may not have been read yet, and starts wait.
+ * once the lease of the command [hasExpired], since the scheduler may have placed the task elsewhere. While
+ * [mayBeOutdated] is true, a stop of the run may not have been read yet, and starts wait.
  */
 internal class CommandSender(
     private val executor: ExecutorClient,
@@ -151,7 +151,7 @@
         /** Two thirds of the commands that the executor is sent at a time. */
         private const val STARTS_MAXIMUM = 16
 
-        /** Half of the others, so that the rest is left to stops. */
-        private const val THROTTLES_MAXIMUM = 4
+        /** Leaves a third of the commands to stops while no starts are in progress. */
+        private const val THROTTLES_MAXIMUM = 16
     }
 }
