Log why tasks that could run have had no run for long

Change: a decision `waiting` counts the hosts of the pool by what keeps a task from them. The waits of tasks that last, of suspects and of jobs without any run are followed in one place, which SuspectWaits becomes.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobTask.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/JobTask.kt
@@ -67,6 +67,9 @@
     public val placedOn: HostIncarnation?
         get() = (state as? TaskState.Placed)?.host
 
+    /** True if the task waits to be placed and is not held back at [now]. */
+    internal fun mayBePlaced(now: Timestamp): Boolean = state == TaskState.Waiting && (heldUntil ?: now) <= now
+
     /** True if run [number] is the last run and is placed on [host]. */
     internal fun isCurrentRun(
         host: HostIncarnation,
--- /dev/null
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementWaits.kt
@@ -0,0 +1,54 @@
+/*
+ * How long tasks have waited for a host, for those whose wait is bounded: suspects, which are tasks under which an
+ * executor has crashed, tasks that last, and one task of each job that has no task on a host.
+ */
+package org.greengagepass.core.process.jobs
+
+import org.greengagepass.core.Timestamp
+
+/** A task that has waited for a host since [since]. */
+internal data class PlacementWait(
+    val task: JobTask,
+    val since: Timestamp,
+)
+
+/** Waits of tasks, as of the last call of [update]. */
+internal class PlacementWaits {
+    private val waits = HashMap<TaskKey, PlacementWait>()
+    private var now = Timestamp(0)
+
+    /** Notes that [waiting] are the tasks that wait at [now]. */
+    fun update(
+        waiting: List<JobTask>,
+        now: Timestamp,
+    ) {
+        this.now = now
+        waits.keys.retainAll(waiting.mapTo(HashSet()) { it.key })
+        waiting.forEach { waits.putIfAbsent(it.key, PlacementWait(it, now)) }
+    }
+
+    /** True if [task] has waited for so long that more hosts are set aside. */
+    fun needsMoreHosts(task: JobTask): Boolean = hasWaited(task, MORE_HOSTS_AFTER_MILLIS)
+
+    /** True if [task] has waited for so long that it is placed like other tasks. */
+    fun isOverdue(task: JobTask): Boolean = hasWaited(task, ISOLATION_WAIT_MILLIS)
+
+    /** The waits of at least [millis] of tasks that still wait, longest first. */
+    fun atLeast(millis: Long): List<PlacementWait> =
+        waits.values
+            .filter { it.task.state == TaskState.Waiting && now.millisSince(it.since) >= millis }
+            .sortedBy { it.since }
+
+    private fun hasWaited(
+        task: JobTask,
+        millis: Long,
+    ): Boolean = waits[task.key]?.let { now.millisSince(it.since) >= millis } ?: false
+
+    private companion object {
+        /** Half of the time after which suspects are no longer isolated. */
+        private const val MORE_HOSTS_AFTER_MILLIS = 1_000L
+
+        /** The users allow a task that could run to wait for 3 s; its start takes some of that. */
+        private const val ISOLATION_WAIT_MILLIS = 2_000L
+    }
+}
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -44,6 +44,9 @@
             .filter { job -> job.tasks.any { it.crashHistory.isSuspect } }
             .mapTo(LinkedHashSet()) { it.id }
 
+    /** Waits of tasks for a host. */
+    internal val waits: PlacementWaits = PlacementWaits()
+
     /** Hosts that are set aside for such tasks. */
     internal val trials: TrialHosts = TrialHosts(this)
 
@@ -71,12 +74,17 @@
     internal fun mayPlaceOn(
         host: Host,
         moment: Moment,
+    ): Boolean = isAvailable(host, moment) && moment.now >= host.pausedUntil
+
+    /** True if [host] could start tasks at [moment], whether it is paused or not. */
+    internal fun isAvailable(
+        host: Host,
+        moment: Moment,
     ): Boolean =
         host.isResponsive(moment.now) &&
             host.silentSince == null &&
             !host.description.isDraining &&
             host.leaseUntilHostClock > 0 &&
-            moment.now >= host.pausedUntil &&
             host.description.failureDomain !in configuration.failureDomainsOut
 
     /** Records that a host has started [run], so that its job has begun. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
@@ -6,6 +6,7 @@
 package org.greengagepass.core.process.jobs
 
 import org.greengagepass.core.Resources
+import org.greengagepass.core.Timestamp
 
 /** Places tasks of [state]. */
 internal class TaskPlacer(
@@ -13,38 +14,62 @@
     private val transitions: RunTransitions,
 ) {
     private val scoring = HostScoring(state)
+    private val waitLog = WaitLog(state, state.waits, scoring.constraints)
 
     /** Places all tasks that can be placed at [moment]. */
     fun placeTasks(moment: Moment) {
         val candidates = scoring.candidates(moment)
-        if (candidates.isEmpty()) return
         val unplaceable = HashSet<PlacementClass>()
         val order = PlacementOrder(moment.epochMillis)
         val jobs =
             state.jobs.active.values
                 .sortedBy { order.rank(it, state.queueOf(it).priority) }
-        state.trials.reserve(jobs, candidates, scoring.constraints, moment.now)
-        jobs.forEach { placeJob(it, candidates, unplaceable, moment) }
+        val readySteps = jobs.flatMap { readySteps(it, moment) }
+        state.waits.update(readySteps.flatMap { boundedWaits(it, moment.now) }, moment.now)
+        if (candidates.isNotEmpty()) {
+            state.trials.reserve(jobs, candidates, scoring.constraints, moment.now)
+            val pools = candidates.groupBy { it.host.description.pool }
+            readySteps.forEach { placeStep(it, pools[state.queueOf(it.job).pool].orEmpty(), unplaceable, moment) }
+        }
+        waitLog.write(candidates, moment)
     }
 
-    private fun placeJob(
+    /** The steps of [job] whose tasks may start, in each occurrence. */
+    private fun readySteps(
         job: Job,
-        candidates: List<HostCandidate>,
+        moment: Moment,
+    ): List<ReadyStep> {
+        val specification = job.definition.specification
+        return (0 until specification.occurrences).flatMap { occurrence ->
+            specification.steps.indices
+                .filter { job.isReady(occurrence, it, moment.epochMillis) }
+                .map { ReadyStep(job, specification.steps[it], job.tasksOf(occurrence, it)) }
+        }
+    }
+
+    /** The tasks of [ready] that wait and whose wait is bounded. */
+    private fun boundedWaits(
+        ready: ReadyStep,
+        now: Timestamp,
+    ): List<JobTask> {
+        val waiting = ready.tasks.filter { it.mayBePlaced(now) }
+        return when {
+            ready.step.lifetime == StepLifetime.STANDING -> waiting
+            waiting.isEmpty() -> emptyList()
+            ready.job.tasks.any { it.placedOn != null } -> waiting.filter { it.crashHistory.isSuspect }
+            else -> waiting.filter { it === waiting.first() || it.crashHistory.isSuspect }
+        }
+    }
+
+    private fun placeStep(
+        ready: ReadyStep,
+        poolCandidates: List<HostCandidate>,
         unplaceable: MutableSet<PlacementClass>,
         moment: Moment,
     ) {
-        val poolCandidates = candidates.filter { it.host.description.pool == state.queueOf(job).pool }
-        val steps = job.definition.specification.steps
-        for (occurrence in 0 until job.definition.specification.occurrences) {
-            steps.indices
-                .filter { job.isReady(occurrence, it, moment.epochMillis) }
-                .forEach { step ->
-                    val tasks = job.tasksOf(occurrence, step)
-                    when (steps[step].coordination) {
-                        StepCoordination.INDEPENDENT -> placeEach(job, tasks, poolCandidates, unplaceable, moment)
-                        StepCoordination.GANG -> placeGang(job, tasks, poolCandidates, moment)
-                    }
-                }
+        when (ready.step.coordination) {
+            StepCoordination.INDEPENDENT -> placeEach(ready.job, ready.tasks, poolCandidates, unplaceable, moment)
+            StepCoordination.GANG -> placeGang(ready.job, ready.tasks, poolCandidates, moment)
         }
     }
 
@@ -59,7 +84,7 @@
         val step = tasks.first().step
         val (suspects, others) = tasks.filter { it.state == TaskState.Waiting }.partition { it.crashHistory.isSuspect }
         val trial = PlacementOptions(poolCandidates, moment, isStarved = true)
-        suspects.filter { (it.heldUntil ?: moment.now) <= moment.now }.forEach { placeOne(job, it, tasks, trial) }
+        suspects.filter { it.mayBePlaced(moment.now) }.forEach { placeOne(job, it, tasks, trial) }
         placeStarved(job, tasks, poolCandidates, moment)
         val placementClass = PlacementClass(state.queueOf(job).pool.value, step.demand, step.constraints, step.sharing)
         if (placementClass in unplaceable) return
@@ -128,6 +153,13 @@
     }
 }
 
+/** A [step] of [job] whose [tasks] of one occurrence may start. */
+private class ReadyStep(
+    val job: Job,
+    val step: StepSpecification,
+    val tasks: List<JobTask>,
+)
+
 /** Candidates for a task. For a starved job only the hard constraints apply. */
 private class PlacementOptions(
     val candidates: List<HostCandidate>,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
@@ -17,7 +17,7 @@
     /** Job whose suspects alone may be placed on a host, as of the last round of placement. */
     private var exclusiveJobs = mapOf<HostIncarnation, JobId>()
 
-    private val waits = SuspectWaits()
+    private val waits = state.waits
 
     /** Sets hosts among [candidates] aside for the waiting suspects of [jobs], in their order. */
     fun reserve(
@@ -26,18 +26,14 @@
         constraints: HostConstraints,
         now: Timestamp,
     ) {
-        if (state.suspectJobs.isEmpty() && exclusiveJobs.isEmpty()) {
-            waits.update(emptyList(), now)
-            return
-        }
+        if (state.suspectJobs.isEmpty() && exclusiveJobs.isEmpty()) return
         val suspects =
             jobs
                 .filter { it.id in state.suspectJobs }
                 .associateWith { job -> job.tasks.filter { it.crashHistory.isSuspect } }
         state.suspectJobs.retainAll(suspects.filterValues { it.isNotEmpty() }.keys.mapTo(HashSet()) { it.id })
         val byIncarnation = candidates.associateBy { it.host.incarnation }
-        val waiting = suspects.mapValues { (_, tasks) -> tasks.filter { isWaiting(it, now) } }
-        waits.update(waiting.values.flatten(), now)
+        val waiting = suspects.mapValues { (_, tasks) -> tasks.filter { it.mayBePlaced(now) } }
         jobsByHost.entries.removeIf { (host, id) ->
             val candidate = byIncarnation[host]
             val tasks = state.jobs[id]?.let { waiting[it] }.orEmpty()
@@ -112,11 +108,6 @@
         }
     }
 
-    private fun isWaiting(
-        task: JobTask,
-        now: Timestamp,
-    ): Boolean = task.state == TaskState.Waiting && (task.heldUntil ?: now) <= now
-
     private fun mayTry(
         task: JobTask,
         candidate: HostCandidate,
