Place tasks that have waited too long on hosts that are set aside

Cause: a host on trial for the suspects of one job takes no other task, and one suspect after another may be tried there, each for up to 10 s. Nothing bounded the wait of the others: those that are no suspects had no bound at all, and suspects that had waited for 2 s were only sent to hosts that are not set aside, which may be full. A preference had become a hard condition without an end. LongWaitsTest failed before. Change: a task whose wait is bounded (a task that lasts, a suspect, a member of a gang, or one task of a job without any run) takes any host after 2 s, if possible one on which it disturbs no trial. It is tried on its own, so that another task of its kind that found no host in the round doesn't keep it from being placed. Cost: a crash beside such a task may have two jobs to blame. Result: LongWaitsTest passes; the tests of core pass.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -148,7 +148,9 @@
     ): HostCandidate? =
         candidates
             .filter { state.trials.allow(task, it.host) && constraints.isFeasible(task, it, isStarved) }
-            .minByOrNull { score(task, siblings, it) + slownessCost(it.host, now) }
+            .minByOrNull {
+                score(task, siblings, it) + slownessCost(it.host, now) + state.trials.cost(task, it.host)
+            }
 
     private fun score(
         task: JobTask,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementWaits.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementWaits.kt
@@ -1,6 +1,6 @@
 /*
  * How long tasks have waited for a host, for those whose wait is bounded: suspects, which are tasks under which an
- * executor has crashed, tasks that last, and one task of each job that has no task on a host.
+ * executor has crashed, tasks that last, members of gangs, and one task of each job that has no task on a host.
  */
 package org.greengagepass.core.process.jobs
 
@@ -30,8 +30,8 @@
     /** True if [task] has waited for so long that more hosts are set aside. */
     fun needsMoreHosts(task: JobTask): Boolean = hasWaited(task, MORE_HOSTS_AFTER_MILLIS)
 
-    /** True if [task] has waited for so long that it is placed like other tasks. */
-    fun isOverdue(task: JobTask): Boolean = hasWaited(task, ISOLATION_WAIT_MILLIS)
+    /** True if [task] has waited for so long that it is placed on any host that can take it. */
+    fun isOverdue(task: JobTask): Boolean = hasWaited(task, OVERDUE_MILLIS)
 
     /** The waits of at least [millis] of tasks that still wait, longest first. */
     fun atLeast(millis: Long): List<PlacementWait> =
@@ -45,10 +45,10 @@
     ): Boolean = waits[task.key]?.let { now.millisSince(it.since) >= millis } ?: false
 
     private companion object {
-        /** Half of the time after which suspects are no longer isolated. */
+        /** Half of the time after which hosts that are set aside take other tasks. */
         private const val MORE_HOSTS_AFTER_MILLIS = 1_000L
 
         /** The users allow a task that could run to wait for 3 s; its start takes some of that. */
-        private const val ISOLATION_WAIT_MILLIS = 2_000L
+        private const val OVERDUE_MILLIS = 2_000L
     }
 }
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
@@ -54,7 +54,7 @@
     ): List<JobTask> {
         val waiting = ready.tasks.filter { it.mayBePlaced(now) }
         return when {
-            ready.step.lifetime == StepLifetime.STANDING -> waiting
+            ready.step.lifetime == StepLifetime.STANDING || ready.step.coordination == StepCoordination.GANG -> waiting
             waiting.isEmpty() -> emptyList()
             ready.job.tasks.any { it.placedOn != null } -> waiting.filter { it.crashHistory.isSuspect }
             else -> waiting.filter { it === waiting.first() || it.crashHistory.isSuspect }
@@ -83,8 +83,9 @@
     ) {
         val step = tasks.first().step
         val (suspects, others) = tasks.filter { it.state == TaskState.Waiting }.partition { it.crashHistory.isSuspect }
-        val trial = PlacementOptions(poolCandidates, moment, isStarved = true)
-        suspects.filter { it.mayBePlaced(moment.now) }.forEach { placeOne(job, it, tasks, trial) }
+        val urgent = PlacementOptions(poolCandidates, moment, isStarved = true)
+        suspects.filter { it.mayBePlaced(moment.now) }.forEach { placeOne(job, it, tasks, urgent) }
+        others.filter(state.waits::isOverdue).forEach { placeOne(job, it, tasks, urgent) }
         placeStarved(job, tasks, poolCandidates, moment)
         val placementClass = PlacementClass(state.queueOf(job).pool.value, step.demand, step.constraints, step.sharing)
         if (placementClass in unplaceable) return
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
@@ -2,7 +2,7 @@
  * Hosts that are set aside for suspects: tasks under which an executor has crashed. A host on trial takes the suspects
  * of one job and no other task until they have lasted for their trial, so that a second crash has one job to blame.
  * Runs that are proven not to crash their executor stay there. A trial may last for 10 s and hosts are few, so a
- * suspect that has waited too long is placed like other tasks.
+ * task that has waited too long is placed on any host, if possible on one without a trial.
  */
 package org.greengagepass.core.process.jobs
 
@@ -100,14 +100,26 @@
         val reservedFor = exclusiveJobs[host.incarnation]
         val isSuspect = task.crashHistory.isSuspect
         return when {
+            // One suspect after another may be on trial, so that what has waited too long does not wait for their end.
+            waits.isOverdue(task) -> true
             reservedFor != null -> isSuspect && task.key.job == reservedFor && hasOnlySuspectsOf(host, reservedFor)
             // The members of a gang run on several hosts at once, more than one of which may never be set aside.
-            waits.isOverdue(task) -> true
             isSuspect -> task.step.coordination == StepCoordination.GANG && host.runs.values.all { it.isProven }
             else -> true
         }
     }
 
+    /** Cost of placing [task] on [host], which is lower for hosts on which it disturbs no trial. */
+    fun cost(
+        task: JobTask,
+        host: Host,
+    ): Double {
+        val reservedFor = exclusiveJobs[host.incarnation]
+        val onTrial = if (task.crashHistory.isSuspect) suspectJob(host) else null
+        val disturbsTrial = (reservedFor ?: onTrial ?: task.key.job) != task.key.job
+        return if (disturbsTrial) DISTURBED_TRIAL_COST else 0.0
+    }
+
     private fun mayTry(
         task: JobTask,
         candidate: HostCandidate,
@@ -138,6 +150,9 @@
         /** Share of a pool that is set aside while suspects have waited long, and that other tasks may not use. */
         private const val EXCLUSIVE_SHARE = 2.0 / 3
 
+        /** Outweighs the load of a host and the distance to the data. */
+        private const val DISTURBED_TRIAL_COST = 4.0
+
         /** A host that went down more than once recently may fail for reasons of its own. */
         private const val REPEATED_OUTAGES = 2
     }
