Move no throttled run to a host that is avoided

Cause: hosts on which tasks fail had become candidates for whoever asks the scoring, so that a throttled run could be stopped to resume on such a host. Change: the hosts that are only tried are asked for separately. Whether a task has waited too long is looked up only if trials would keep it from a host, which is rare, and not for each pair of task and host. Result: SharedHostsTest failed before and passes; the tests of core pass. Conclusion: hosts that are avoided take no more than the tasks that wait too long.

--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReliability.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostReliability.kt
@@ -32,13 +32,7 @@
         val unexplained = failures.getOrPut(host) { LinkedHashSet() }
         unexplained += task
         if (unexplained.size > FAILURES_MAXIMUM) unexplained.remove(unexplained.first())
-        return if (unexplained.size >=
-            AVOIDANCE_FAILURES
-        ) {
-            AVOIDANCE_MILLIS * (unexplained.size - AVOIDANCE_FAILURES + 1)
-        } else {
-            0
-        }
+        return AVOIDANCE_MILLIS * (unexplained.size - EXCUSED_FAILURES).coerceAtLeast(0)
     }
 
     /** Removes [host], whose incarnation has ended. */
@@ -48,7 +42,7 @@
 
     private companion object {
         /** A single failure may be the task's own fault. */
-        private const val AVOIDANCE_FAILURES = 2
+        private const val EXCUSED_FAILURES = 1
 
         /** Avoidance of a failing host for each failure beyond the first. */
         private const val AVOIDANCE_MILLIS = 1_500L
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/HostScoring.kt
@@ -120,6 +120,13 @@
             .filter { state.mayPlaceOn(it, moment) }
             .map { candidateOf(it, moment.now) }
 
+    /** The hosts that are avoided because tasks fail there, but could start a task at [moment]. */
+    fun avoidedCandidates(moment: Moment): List<HostCandidate> =
+        state.hosts
+            .all()
+            .filter { state.mayTryOn(it, moment) }
+            .map { candidateOf(it, moment.now) }
+
     /** Free capacity of [host], less the effects of tasks that were placed too recently to be measured. */
     private fun candidateOf(
         host: Host,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/SchedulerState.kt
@@ -74,9 +74,15 @@
     internal fun mayPlaceOn(
         host: Host,
         moment: Moment,
-    ): Boolean = isAvailable(host, moment) && moment.now >= host.pausedUntil
+    ): Boolean = isAvailable(host, moment) && moment.now >= maxOf(host.pausedUntil, host.avoidedUntil)
 
-    /** True if [host] could start tasks at [moment], whether it is paused or not. */
+    /** True if [host] is avoided because tasks fail there, but could start a task at [moment]. */
+    internal fun mayTryOn(
+        host: Host,
+        moment: Moment,
+    ): Boolean = isAvailable(host, moment) && moment.now >= host.pausedUntil && moment.now < host.avoidedUntil
+
+    /** True if [host] could start tasks at [moment], whether it is paused or avoided or not. */
     internal fun isAvailable(
         host: Host,
         moment: Moment,
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TaskPlacer.kt
@@ -18,7 +18,8 @@
 
     /** Places all tasks that can be placed at [moment]. */
     fun placeTasks(moment: Moment) {
-        val (avoided, candidates) = scoring.candidates(moment).partition { moment.now < it.host.avoidedUntil }
+        val candidates = scoring.candidates(moment)
+        val avoided = scoring.avoidedCandidates(moment)
         val unplaceable = HashSet<PlacementClass>()
         val order = PlacementOrder(moment.epochMillis)
         val jobs =
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/TrialHosts.kt
@@ -99,14 +99,16 @@
     ): Boolean {
         val reservedFor = exclusiveJobs[host.incarnation]
         val isSuspect = task.crashHistory.isSuspect
-        return when {
-            // One suspect after another may be on trial, so that what has waited too long does not wait for their end.
-            waits.isOverdue(task) -> true
-            reservedFor != null -> isSuspect && task.key.job == reservedFor && hasOnlySuspectsOf(host, reservedFor)
-            // The members of a gang run on several hosts at once, more than one of which may never be set aside.
-            isSuspect -> task.step.coordination == StepCoordination.GANG && host.runs.values.all { it.isProven }
-            else -> true
-        }
+        val isKeptOut =
+            when {
+                reservedFor != null ->
+                    !isSuspect || task.key.job != reservedFor || !hasOnlySuspectsOf(host, reservedFor)
+                // The members of a gang run on several hosts, more than one of which may never be set aside.
+                isSuspect -> task.step.coordination != StepCoordination.GANG || host.runs.values.any { !it.isProven }
+                else -> false
+            }
+        // One suspect after another may be on trial, so what has waited too long does not wait for their end.
+        return !isKeptOut || waits.isOverdue(task)
     }
 
     /** Cost of placing [task] on [host], which is lower for hosts on which it disturbs no trial. */
--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/WaitLog.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/WaitLog.kt
@@ -65,7 +65,7 @@
     ): Obstacle =
         when {
             candidate == null && !state.isAvailable(host, moment) -> Obstacle.UNAVAILABLE
-            candidate == null -> if (moment.now < host.avoidedUntil) Obstacle.AVOIDED else Obstacle.PAUSED
+            candidate == null -> if (state.mayTryOn(host, moment)) Obstacle.AVOIDED else Obstacle.PAUSED
             !candidate.fits(task.step) -> Obstacle.FULL
             !constraints.isFeasible(task, candidate, isStarved = true) -> Obstacle.UNSUITABLE
             !state.trials.allow(task, host) -> Obstacle.SET_ASIDE
--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/SharedHostsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/SharedHostsTest.kt
@@ -1,5 +1,6 @@
 package org.greengagepass.core.process.jobs
 
+import org.greengagepass.core.Timestamp
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.filterIsInstance
@@ -63,6 +64,15 @@
         expectThat(observe(runs, latency = 60) {}).isEmpty()
     }
 
+    @Test
+    fun `a throttled run is not moved to a host on which tasks fail`() {
+        val runs = startBeside(bestEffortStep().copy(isCheckpointing = true))
+        harness.connect(description(second), 100)
+        harness.scheduler.state.hosts[second]
+            ?.avoidUntil(Timestamp(60_000))
+        expectThat(observe(runs, latency = 60) { harness.report(second, it) }).isEmpty()
+    }
+
     @Test
     fun `a throttled run without checkpoints is not moved`() {
         val runs = startBeside(bestEffortStep())
