--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/WaitLog.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/WaitLog.kt
@@ -69,7 +69,7 @@
             !candidate.fits(task.step) -> Obstacle.FULL
             !constraints.isFeasible(task, candidate, isStarved = true) -> Obstacle.UNSUITABLE
             !state.trials.allow(task, host) -> Obstacle.SET_ASIDE
-            // Without an interference limit the task would have been placed.
+            // What is left are the limits for best-effort tasks, which isStarved leaves out.
             else -> Obstacle.UNSUITABLE
         }
 
