--- a/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementWaits.kt
+++ b/core/src/main/kotlin/org/greengagepass/core/process/jobs/PlacementWaits.kt
@@ -1,6 +1,6 @@
 /*
  * How long tasks have waited for a host, for those whose wait is bounded: suspects, which are tasks under which an
- * executor has crashed, tasks that last, members of gangs, and one task of each job that has no task on a host.
+ * executor has crashed, standing tasks, members of gangs, and one task of each job that has no task on a host.
  */
 package org.greengagepass.core.process.jobs
 
