--- a/core/src/test/kotlin/org/greengagepass/core/process/jobs/LongWaitsTest.kt
+++ b/core/src/test/kotlin/org/greengagepass/core/process/jobs/LongWaitsTest.kt
@@ -43,9 +43,11 @@
         val lasting = step().copy(lifetime = StepLifetime.STANDING)
         harness.submit("lasting", specification(lasting), 1_500)
         harness.submit("finite", specification(step()), 1_500)
+        val gang = step(taskCount = 2, coordination = StepCoordination.GANG)
+        harness.submit("gang", specification(gang), 1_500)
         play(1_510L..1_500L + WAIT_MILLIS, hosts)
         val jobs = begun.values.flatten().mapTo(HashSet()) { it.task.job.value }
-        expectThat(jobs).containsExactlyInAnyOrder(recurring + listOf("large", "lasting", "finite"))
+        expectThat(jobs).containsExactlyInAnyOrder(recurring + listOf("large", "lasting", "finite", "gang"))
     }
 
     @Test
